Lay out the workspace and the contracts between the processes

Cause: an empty repository; the packages need fixed meeting points before they are written side by side. Ruled out: one package for all, which hides the edges between reducers and the world; mutable maps behind read-only types, which make a reducer's earlier states lie. Conclusion: the reducers and the shells can be written against these types.

--- /dev/null
+++ b/packages/common/src/hostName.ts
@@ -0,0 +1,4 @@
+import type { Branded } from './branded.js';
+
+/** Names a host. */
+export type HostName = Branded<string, 'HostName'>;
--- /dev/null
+++ b/packages/common/src/msPerSecond.ts
@@ -0,0 +1,2 @@
+/** Milliseconds in a second. */
+export const MS_PER_SECOND = 1_000;
--- /dev/null
+++ b/packages/common/src/rankByRendezvous.ts
@@ -0,0 +1,13 @@
+import { computeFingerprint } from './computeFingerprint.js';
+
+/** Orders candidates by rendezvous hashing for a key, so that all processes agree without talking. */
+export const rankByRendezvous = <Candidate extends string>(
+  key: string,
+  candidates: readonly Candidate[],
+): readonly Candidate[] =>
+  candidates
+    .map((candidate) => ({ candidate, weight: computeFingerprint(`${key}\u0000${candidate}`) }))
+    .sort(
+      (left, right) => right.weight - left.weight || (left.candidate < right.candidate ? -1 : 1),
+    )
+    .map(({ candidate }) => candidate);
--- /dev/null
+++ b/packages/common/src/reduction.ts
@@ -0,0 +1,5 @@
+/** What a reducer answers: the next state and the effects to run, in order. */
+export interface Reduction<State, Effect> {
+  readonly state: State;
+  readonly effects: readonly Effect[];
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,9 @@
+export type { ConfigurationPosition } from './configurationPosition.js';
+export type { EntryToSideMessage } from './entryToSideMessage.js';
+export type { GrantFate } from './grantFate.js';
+export type { HandBackReason } from './handBackReason.js';
+export type { NotRunReason } from './notRunReason.js';
+export type { Reservation } from './reservation.js';
+export type { SideDigest } from './sideDigest.js';
+export type { SideToEntryMessage } from './sideToEntryMessage.js';
+export type { TargetCall } from './targetCall.js';
--- /dev/null
+++ b/packages/side/src/index.ts
@@ -0,0 +1,3 @@
+export type { SideEffect } from './sideEffect.js';
+export type { SideEvent } from './sideEvent.js';
+export type { SideSettings } from './sideSettings.js';
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,13 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  resolve: { conditions: ['source'] },
+  ssr: { resolve: { conditions: ['source'], externalConditions: ['source'] } },
+  test: {
+    include: ['packages/*/src/**/*.test.ts', 'packages/*/tests/**/*.test.ts'],
+    pool: 'forks',
+    deps: { interopDefault: false },
+    testTimeout: 120_000,
+    hookTimeout: 120_000,
+  },
+});
