Add the stand-ins for the platform's services and the targets

Cause: the process tests, the demo and the measure tool need a log, a list of hosts, engines and services that can be slowed, cut and counted. Change: log, lagging list, model engine (continuous batching in scaled time), plain service and a TCP relay, startable in-process and as a process. Nothing was measured. Conclusion: answers are a function of request id and prompt, so a test can check every byte.

--- /dev/null
+++ b/packages/standIns/src/engine/engineStats.ts
@@ -0,0 +1,22 @@
+/** What became of one request's prefill, by the caller's mark. */
+interface RunStats {
+  readonly runs: number;
+  readonly prefillTokens: number;
+  readonly cachedTokens: number;
+  readonly tokensDone: number;
+  readonly outcome: 'open' | 'ended' | 'cancelled';
+}
+
+/** Counters of an engine since its start; times in engine milliseconds. */
+export interface EngineStats {
+  readonly runsByRequest: Readonly<Record<string, number>>;
+  readonly runsByLabel: Readonly<Record<string, RunStats>>;
+  readonly prefillTokensComputed: number;
+  readonly prefillTokensSpared: number;
+  readonly prefillTokensCancelled: number;
+  readonly decodeTokens: number;
+  readonly steps: number;
+  readonly busyMs: number;
+  readonly elapsedMs: number;
+  readonly idleShare: number;
+}
--- a/packages/standIns/src/index.ts
+++ b/packages/standIns/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export type { AnswerDescription } from './engine/answerDescription.js';
+export { computePrefixFingerprints } from './engine/computePrefixFingerprints.js';
+export { countTokens } from './engine/countTokens.js';
+export type { EngineStats } from './engine/engineStats.js';
+export { getExpectedAnswer } from './engine/getExpectedAnswer.js';
+export { startEngineStandIn } from './engine/startEngineStandIn.js';
+export { startListStandIn } from './list/startListStandIn.js';
+export { startLogStandIn } from './log/startLogStandIn.js';
+export type { Relay } from './relay/relay.js';
+export { startRelay } from './relay/startRelay.js';
+export type { StandIn } from './server/standIn.js';
+export { getExpectedServiceAnswer } from './service/getExpectedServiceAnswer.js';
+export { startServiceStandIn } from './service/startServiceStandIn.js';
--- /dev/null
+++ b/packages/standIns/src/list/listedRecordSchema.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod';
+
+/** One process of a host as the list shows it. */
+export const listedRecordSchema = z.object({
+  host: z.string(),
+  dataCentre: z.string(),
+  role: z.enum(['entry', 'target']),
+  process: z.string(),
+  address: z.string(),
+  operatorAddress: z.string().optional(),
+  state: z.enum(['live', 'leaving']),
+});
