Fold the configuration from the log and reach the platform by typed clients

Cause: operators race, the log drops records after a time and its answers can be lost, so every process needs one rule for which change is in force. Ruled out: a reader that accepts a first publication on a trimmed stream (it can miss an accepted record), and counting a checkpoint as due from the last accepted change (a busy stream then never gets one). Change: record schema, fold with typed verdicts, a reader that holds records past a gap until a checkpoint or a peer covers it, checkpoints with a stagger, document check that names every fault, difference of documents; clients of the log and the list of hosts; the shapes of /status and of the report stream. Two deliberate faults (no gap check, a checkpoint that does not reach the gap) fail the properties. Conclusion: readers agree on every version under trimming, adoption and restart in the runs of the test.

--- a/packages/configuration/src/document/configurationDocumentSchema.ts
+++ b/packages/configuration/src/document/configurationDocumentSchema.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { PoolName, TeamName } from '@parsleyhall/common';
 import type { ConfigurationDocument } from './configurationDocument.js';
+import { findCrossFaults } from './findCrossFaults.js';
 
 const SHA256_HEX = /^[0-9a-f]{64}$/;
 
@@ -11,8 +12,7 @@
 const share = z.number().min(0).max(1);
 const positive = z.number().positive();
 
-/** Checks and types a configuration document. */
-export const configurationDocumentSchema: z.ZodType<ConfigurationDocument> = z.strictObject({
+const documentShape = z.strictObject({
   teams: z.array(
     z.strictObject({
       name: teamName,
@@ -68,3 +68,14 @@
     .min(1),
   initialPreset: name,
 });
+
+/** Checks and types a configuration document, with the faults that lie between its parts. */
+export const configurationDocumentSchema: z.ZodType<ConfigurationDocument> =
+  documentShape.superRefine(
+    (input, check) => {
+      for (const { path, allowed } of findCrossFaults(input)) {
+        check.addIssue({ code: 'custom', path: [...path], message: allowed });
+      }
+    },
+    { when: () => true },
+  );
--- /dev/null
+++ b/packages/configuration/src/reader/newCheckpoint.ts
@@ -0,0 +1,13 @@
+import type { ConfigurationRecord } from '../log/configurationRecord.js';
+import type { ConfigurationReader } from './configurationReader.js';
+
+/** The checkpoint record of what the reader has folded. */
+export const newCheckpoint = (
+  reader: ConfigurationReader,
+  publicationId: string,
+): ConfigurationRecord => ({
+  type: 'checkpoint',
+  publicationId,
+  state: reader.state,
+  foldedTo: reader.foldedTo,
+});
--- /dev/null
+++ b/packages/configuration/src/reader/offsetVerdict.ts
@@ -0,0 +1,7 @@
+import type { ConfigurationVerdict } from '../log/configurationVerdict.js';
+
+/** The verdict on the record at an offset. */
+export interface OffsetVerdict {
+  readonly offset: number;
+  readonly verdict: ConfigurationVerdict;
+}
--- /dev/null
+++ b/packages/platform/src/hostList/createHostListClient.ts
@@ -0,0 +1,55 @@
+import { type Either, Left, Right } from 'purify-ts';
+import { Agent } from 'undici';
+import { z } from 'zod';
+import type { HostName } from '@parsleyhall/common';
+import type { HttpAnswer } from '../http/httpAnswer.js';
+import type { PlatformFailure } from '../http/platformFailure.js';
+import { requestJson } from '../http/requestJson.js';
+import type { HostList } from './hostList.js';
+import type { HostListClient } from './hostListClient.js';
+
+const CONNECT_TIMEOUT_MS = 2_000;
+const ANSWER_TIMEOUT_MS = 5_000;
+
+const hostListSchema: z.ZodType<HostList> = z.object({
+  asOfMs: z.number(),
+  hosts: z.array(
+    z.object({
+      host: z.string().transform((value) => value as HostName),
+      dataCentre: z.string(),
+      role: z.enum(['entry', 'target']),
+      process: z.string(),
+      address: z.string(),
+      operatorAddress: z.string().optional(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+const parseAnswer = ({ status, body }: HttpAnswer): Either<PlatformFailure, HostList> => {
+  if (status !== 200) {
+    return Left({ type: 'unavailable', detail: `the service answered ${status}` });
+  }
+  const parsed = hostListSchema.safeParse(body);
+  return parsed.success
+    ? Right(parsed.data)
+    : Left({ type: 'malformed', detail: z.prettifyError(parsed.error) });
+};
+
+/** Connects to the list of hosts at `ip:port`; disposing of the client closes its connections. */
+export const createHostListClient = ({ address }: { readonly address: string }): HostListClient => {
+  const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+  return {
+    list: async ({ signal } = {}) => {
+      const answer = await requestJson({
+        dispatcher,
+        method: 'GET',
+        url: `http://${address}/v1/hosts`,
+        timeoutMs: ANSWER_TIMEOUT_MS,
+        signal,
+      });
+      return answer.chain(parseAnswer);
+    },
+    [Symbol.asyncDispose]: () => dispatcher.destroy(),
+  };
+};
--- /dev/null
+++ b/packages/platform/src/log/logRecord.ts
@@ -0,0 +1,7 @@
+/** A record of a stream. */
+export interface LogRecord {
+  readonly offset: number;
+  /** Wall clock of the log when the record was appended, in milliseconds. */
+  readonly appendedAtMs: number;
+  readonly value: unknown;
+}
--- /dev/null
+++ b/packages/platform/src/report/reportStream.ts
@@ -0,0 +1,2 @@
+/** Stream of the log that holds the entries' summaries. */
+export const REPORT_STREAM = 'report';
--- /dev/null
+++ b/packages/platform/src/status/targetStatus.ts
@@ -0,0 +1,15 @@
+import type { Tier } from '@parsleyhall/common';
+import type { CountByTier } from './countByTier.js';
+
+/** Load of one target as its side process reports it. */
+export interface TargetStatus {
+  readonly runningRequests: number;
+  readonly windowRequests: number;
+  readonly prefillTokensAhead: number;
+  readonly waitingByTier: CountByTier;
+  readonly runningByTier: CountByTier;
+  readonly predictedWaitMsByTier: CountByTier;
+  readonly lowestTierAdmitted: Tier;
+  readonly takesLongPrefills: boolean;
+  readonly isLeaving: boolean;
+}
