Entry reducer: late binding, claims of keys, settling of broken gives

Cause: the path needs the process that owns each waiting request. Ruled out: hedging or a second dispatch after a broken give (at most once would be lost); joining a key by a local look alone (a lagging reader would run twice): a claim holds only when its own start is read back as the first. Change: the reducer of an entry with its decisions as functions, persistent indices by due time, pool and side process, shedding from the lowest tier up, limits by team, the fold of idempotency keys.

--- a/packages/entry/src/entryEvent.ts
+++ b/packages/entry/src/entryEvent.ts
@@ -16,7 +16,12 @@
   | { readonly type: 'sideMessage'; readonly side: SideId; readonly message: SideToEntryMessage }
   | { readonly type: 'sideDisconnected'; readonly side: SideId }
   /** The platform's list as read last. */
-  | { readonly type: 'hostsListed'; readonly hosts: readonly ListedHost[] }
+  | {
+      readonly type: 'hostsListed';
+      readonly hosts: readonly ListedHost[];
+      /** Number of live entries, this one included; limits of teams are shared evenly among them. */
+      readonly liveEntries?: number;
+    }
   /** Records of a key partition in log order; `offsets` are theirs, `nextOffset` follows the last one read. */
   | {
       readonly type: 'keyRecordsRead';
--- a/packages/entry/src/finalFailure.ts
+++ b/packages/entry/src/finalFailure.ts
@@ -3,7 +3,7 @@
 /**
  * The final answer to a request without an answer of a target. `notRun` is a promise that it did not run and will not;
  * `outcomeUnknown` says that it may have run; `keyConflict` that its idempotency key belongs to another request, is too
- * old or malformed.
+ * old or malformed, or that its run is done but its answer was too large to keep.
  */
 export type FinalFailure =
   | {
@@ -13,4 +13,7 @@
       readonly retryAfterMs: number;
     }
   | { readonly type: 'outcomeUnknown'; readonly retryAfterMs: number }
-  | { readonly type: 'keyConflict'; readonly reason: 'otherRequest' | 'tooOld' | 'malformed' };
+  | {
+      readonly type: 'keyConflict';
+      readonly reason: 'otherRequest' | 'tooOld' | 'malformed' | 'answerNotKept';
+    };
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,7 +1,16 @@
 export type { ArrivedRequest } from './arrivedRequest.js';
+export { createEntryReducer } from './createEntryReducer.js';
+export { DEFAULT_ENTRY_DECISIONS } from './decisions/defaultEntryDecisions.js';
+export type { EntryDecisions } from './decisions/entryDecisions.js';
+export type { Placement } from './decisions/placement.js';
+export type { PlacementView } from './decisions/placementView.js';
 export type { EntryEffect } from './entryEffect.js';
 export type { EntryEvent } from './entryEvent.js';
 export type { EntrySettings } from './entrySettings.js';
-export type { KeyRecord } from './keys/keyRecord.js';
+export type { EntryState } from './entryState.js';
 export type { FinalFailure } from './finalFailure.js';
+export { foldKeyRecord } from './keys/foldKeyRecord.js';
+export type { KeyRecord } from './keys/keyRecord.js';
+export { getKeyPartition } from './keys/getKeyPartition.js';
 export type { ListedHost } from './listedHost.js';
+export type { SideLink } from './sides/sideLink.js';
--- a/packages/entry/src/keys/keyRecord.ts
+++ b/packages/entry/src/keys/keyRecord.ts
@@ -10,6 +10,8 @@
     }
   /** The attempt did not run and will not: the key is free again. */
   | { readonly type: 'notRun'; readonly key: string; readonly attempt: string }
+  /** Nobody can tell whether the attempt ran; the key stays taken until an operator settles it. */
+  | { readonly type: 'unknown'; readonly key: string; readonly attempt: string }
   /** The attempt ran to its end with this answer. */
   | {
       readonly type: 'done';
--- /dev/null
+++ b/packages/entry/src/requests/makeRoom.ts
@@ -0,0 +1,32 @@
+import type { EntryScope } from '../entryScope.js';
+import type { EntryStep } from '../entryStep.js';
+import { findLowerTierVictim } from './findLowerTierVictim.js';
+import { shedRequest } from './shedRequest.js';
+import type { TrackedRequest } from './trackedRequest.js';
+
+const VICTIMS_PER_ARRIVAL = 16;
+
+const hasRoom = ({ settings }: EntryScope, { state }: EntryStep, bodyBytes: number): boolean =>
+  state.waitingCount < settings.maximumWaiting &&
+  state.waitingBytes + bodyBytes <= settings.maximumWaitingBytes;
+
+/** Sheds waiting requests of lower tiers until the entry has room for one more, as far as there are any. */
+export const makeRoom = (
+  scope: EntryScope,
+  step: EntryStep,
+  tracked: TrackedRequest,
+): { readonly hasRoom: boolean; readonly step: EntryStep } => {
+  const bodyBytes = tracked.request.call.body.length;
+  let current = step;
+  for (let count = 0; count < VICTIMS_PER_ARRIVAL; count += 1) {
+    if (hasRoom(scope, current, bodyBytes)) {
+      return { hasRoom: true, step: current };
+    }
+    const victim = findLowerTierVictim(current.state, tracked);
+    if (victim === undefined) {
+      break;
+    }
+    current = shedRequest(scope, current, victim);
+  }
+  return { hasRoom: hasRoom(scope, current, bodyBytes), step: current };
+};
--- /dev/null
+++ b/packages/entry/src/sides/listHosts.ts
@@ -0,0 +1,68 @@
+import type { EntryEvent } from '../entryEvent.js';
+import type { EntryScope } from '../entryScope.js';
+import type { EntryStep } from '../entryStep.js';
+import type { ListedHost } from '../listedHost.js';
+import { storeRequest } from '../requests/storeRequest.js';
+import { emit } from '../steps/emit.js';
+import { withState } from '../steps/withState.js';
+import { breakLink } from './breakLink.js';
+import { newSideLink } from './newSideLink.js';
+import type { SideLink } from './sideLink.js';
+import { updateLink } from './updateLink.js';
+
+const takeListed = (scope: EntryScope, step: EntryStep, listed: ListedHost): EntryStep => {
+  const link = step.state.sides.get(listed.side);
+  const { side, address, host, isLeaving } = listed;
+  if (link === undefined) {
+    const sides = step.state.sides.set(side, newSideLink(listed));
+    return emit(withState(step, { sides }), { type: 'openSide', side, address });
+  }
+  const known = updateLink(step, side, {
+    address,
+    host,
+    isListed: true,
+    isListedLeaving: isLeaving,
+  });
+  if (link.address === address) {
+    return known;
+  }
+  const broken = breakLink(scope, known, side);
+  return emit(broken, { type: 'closeSide', side }, { type: 'openSide', side, address });
+};
+
+/** Gives requests bound to a side process that is neither listed nor connected a last time to be settled. */
+const limitSettling = (scope: EntryScope, step: EntryStep, link: SideLink): EntryStep =>
+  link.bound.reduce((current, requestId) => {
+    const tracked = current.state.requests.get(requestId);
+    if (tracked === undefined) {
+      return current;
+    }
+    const dueAtMs = Math.min(tracked.dueAtMs, scope.nowMs + scope.settings.settleAllowanceMs);
+    return storeRequest(current, { ...tracked, dueAtMs });
+  }, step);
+
+const takeUnlisted = (scope: EntryScope, step: EntryStep, link: SideLink): EntryStep => {
+  const { side } = link;
+  const unlisted = updateLink(step, side, { isListed: false });
+  if (link.bound.size > 0) {
+    return link.isConnected || !link.isListed ? unlisted : limitSettling(scope, unlisted, link);
+  }
+  const broken = breakLink(scope, unlisted, side);
+  const sides = broken.state.sides.delete(side);
+  return emit(withState(broken, { sides }), { type: 'closeSide', side });
+};
+
+/** Follows the platform's list: opens streams to new side processes and closes those that are gone and finished. */
+export const listHosts = (
+  scope: EntryScope,
+  step: EntryStep,
+  { hosts, liveEntries }: Extract<EntryEvent, { type: 'hostsListed' }>,
+): EntryStep => {
+  const counted = withState(step, { liveEntries: Math.max(1, liveEntries ?? 1) });
+  const taken = hosts.reduce((current, listed) => takeListed(scope, current, listed), counted);
+  const listedSides = new Set(hosts.map(({ side }) => side));
+  return taken.state.sides
+    .valueSeq()
+    .filter(({ side }) => !listedSides.has(side))
+    .reduce((current, link) => takeUnlisted(scope, current, link), taken);
+};
