Bound the side processes that an entry holds streams to

Cause: at 330 entries and 910 side processes a full mesh would be 300,000 streams, beyond 30 KB a second a node. Ruled out: random subsets drawn at each start (a restart would move every stream); one ring over all pools (a small pool could be left out). Change: chooseSubset by rendezvous hashing for each pool, taking the data centres in turn; setting sidesPerPool.

--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -13,6 +13,8 @@
   readonly settleAllowanceMs: number;
   /** Side processes that a request is reserved at, at most. */
   readonly reservationsPerRequest: number;
+  /** Side processes of one pool that this entry holds streams to, at most; all when absent. */
+  readonly sidesPerPool?: number;
   readonly maximumWaiting: number;
   readonly maximumWaitingBytes: number;
   readonly keyPartitions: number;
--- a/packages/entry/src/sides/listHosts.ts
+++ b/packages/entry/src/sides/listHosts.ts
@@ -6,6 +6,7 @@
 import { emit } from '../steps/emit.js';
 import { withState } from '../steps/withState.js';
 import { breakLink } from './breakLink.js';
+import { chooseSubset } from './chooseSubset.js';
 import { newSideLink } from './newSideLink.js';
 import type { SideLink } from './sideLink.js';
 import { updateLink } from './updateLink.js';
@@ -56,8 +57,10 @@
 export const listHosts = (
   scope: EntryScope,
   step: EntryStep,
-  { hosts, liveEntries }: Extract<EntryEvent, { type: 'hostsListed' }>,
+  { hosts: listedHosts, liveEntries }: Extract<EntryEvent, { type: 'hostsListed' }>,
 ): EntryStep => {
+  const { entry, sidesPerPool = Number.POSITIVE_INFINITY } = scope.settings;
+  const hosts = chooseSubset(entry, listedHosts, sidesPerPool);
   const counted = withState(step, { liveEntries: Math.max(1, liveEntries ?? 1) });
   const taken = hosts.reduce((current, listed) => takeListed(scope, current, listed), counted);
   const listedSides = new Set(hosts.map(({ side }) => side));
