Add the side process reducer: late binding, answers and leaving

Cause: the side process had contracts only. Change: a pure reducer with reservations, grants that are used once, runs whose answers are kept and relayed, fates after a broken stream, planned stop and drain, and configuration by the higher version. Guards and policies are named functions in one record. A doubled give of a running request is answered accepted again, not refused: refused would claim that it did not run. A give by a grant of an earlier incarnation is settled by asking the target. Nothing was measured.

--- /dev/null
+++ b/packages/side/src/configuration/takeConfiguration.ts
@@ -0,0 +1,24 @@
+import type { ConfigurationState } from '@parsleyhall/configuration';
+import type { SideState } from '../sideState.js';
+import type { SideContext } from '../step/sideContext.js';
+import type { SideStep } from '../step/sideStep.js';
+import { updateLeaving } from '../leaving/updateLeaving.js';
+import { andThen } from '../step/andThen.js';
+import { newStep } from '../step/newStep.js';
+
+/** Puts a configuration in force when it is newer than the present one. */
+export const takeConfiguration = (
+  context: SideContext,
+  state: SideState,
+  configuration: ConfigurationState,
+): SideStep => {
+  if (!context.decisions.acceptsConfiguration(state.configuration, configuration)) {
+    return newStep(state);
+  }
+  const isDrained = configuration.drainedHosts.includes(context.settings.host);
+  const inForce = newStep(
+    { ...state, configuration },
+    { type: 'configurationInForce', configuration },
+  );
+  return andThen(inForce, (next) => updateLeaving(context, next, { isDrained }));
+};
--- /dev/null
+++ b/packages/side/src/defaultSideDecisions.ts
@@ -0,0 +1,25 @@
+import type { SideDecisions } from './sideDecisions.js';
+import { acceptsConfiguration } from './configuration/acceptsConfiguration.js';
+import { isGrantLeaseHeld } from './grants/isGrantLeaseHeld.js';
+import { isGrantUsable } from './grants/isGrantUsable.js';
+import { acceptsNewWork } from './leaving/acceptsNewWork.js';
+import { chooseNext } from './queue/chooseNext.js';
+import { chooseShed } from './queue/chooseShed.js';
+import { fateOfUnknownGrant } from './runs/fateOfUnknownGrant.js';
+import { isAlreadyCalled } from './runs/isAlreadyCalled.js';
+import { shouldCancel } from './runs/shouldCancel.js';
+import { hasRoom } from './window/hasRoom.js';
+
+/** The guards and policies of the product. */
+export const DEFAULT_SIDE_DECISIONS: SideDecisions = {
+  acceptsConfiguration,
+  acceptsNewWork,
+  isGrantLeaseHeld,
+  isGrantUsable,
+  isAlreadyCalled,
+  fateOfUnknownGrant,
+  chooseNext,
+  chooseShed,
+  hasRoom,
+  shouldCancel,
+};
--- /dev/null
+++ b/packages/side/src/queue/chargeTeam.ts
@@ -0,0 +1,29 @@
+import type { QueueState } from './queueState.js';
+import type { TierQueue } from './tierQueue.js';
+import type { Work } from './work.js';
+import { moveTeam } from './moveTeam.js';
+import { updateTier } from './updateTier.js';
+
+const forgetSpentTags = (tierQueue: TierQueue): TierQueue => {
+  const first = tierQueue.idleTeams.first();
+  if (first === undefined || first.rank > tierQueue.virtualTime) {
+    return tierQueue;
+  }
+  return forgetSpentTags({
+    ...tierQueue,
+    tags: tierQueue.tags.remove(first.id),
+    idleTeams: tierQueue.idleTeams.without(first.rank, first.id),
+  });
+};
+
+/** The queue after a request of the team was served; the cost is in tokens over the team's weight. */
+export const chargeTeam = (
+  queue: QueueState,
+  { tier, team }: Pick<Work, 'tier' | 'team'>,
+  cost: number,
+): QueueState =>
+  updateTier(queue, tier, (tierQueue) => {
+    const start = Math.max(tierQueue.tags.get(team) ?? 0, tierQueue.virtualTime);
+    const served = moveTeam(tierQueue, team, start + cost);
+    return forgetSpentTags({ ...served, virtualTime: start });
+  });
--- /dev/null
+++ b/packages/side/src/queue/waitingReservation.ts
@@ -0,0 +1,18 @@
+import type { EntryId, RequestId } from '@parsleyhall/common';
+import type { Work } from './work.js';
+
+/** A reservation in the queue of this side process; times are on its monotonic clock, in milliseconds. */
+export interface WaitingReservation {
+  readonly requestId: RequestId;
+  readonly entry: EntryId;
+  readonly work: Work;
+  readonly arrivedAtMs: number;
+  readonly deadlineMs: number;
+  readonly firstTokenByMs: number | undefined;
+  /** Time by which it would have to start to end in time, as estimated on arrival. */
+  readonly latestStartMs: number;
+  /** Tokens of the target's work that it stands for, as estimated on arrival. */
+  readonly tokens: number;
+  /** Grants issued for it that expired unused. */
+  readonly expiredGrants: number;
+}
--- /dev/null
+++ b/packages/side/src/runs/emptyRuns.ts
@@ -0,0 +1,12 @@
+import { Map } from 'immutable';
+import { OrderedIndex } from '@parsleyhall/common';
+import type { RunsState } from './runsState.js';
+
+/** The runs of a new incarnation. */
+export const EMPTY_RUNS: RunsState = {
+  byId: Map(),
+  ended: OrderedIndex.empty(),
+  decoding: OrderedIndex.empty(),
+  prefilling: OrderedIndex.empty(),
+  keptBytes: 0,
+};
--- /dev/null
+++ b/packages/side/src/runs/run.ts
@@ -0,0 +1,33 @@
+import type { List } from 'immutable';
+import type { EntryId, GrantId, RequestId } from '@parsleyhall/common';
+import type { Work } from '../queue/work.js';
+import type { AnswerChunk } from './answerChunk.js';
+
+/** A request that was called on the target, or taken up again there, with what is kept of its answer. */
+export interface Run {
+  readonly grantId: GrantId;
+  readonly requestId: RequestId;
+  readonly work: Work;
+  readonly entry: EntryId;
+  /** Connection of the entry that the answer is relayed on; undefined while it is only kept. */
+  readonly relayConnection: number | undefined;
+  /** Resuming until the target has said that it knows the request. */
+  readonly phase: 'resuming' | 'running' | 'done' | 'failed';
+  readonly startedAtMs: number;
+  readonly deadlineMs: number;
+  /** Prefill tokens of others whose first token was outstanding at the start. */
+  readonly prefillTokensAhead: number;
+  readonly head:
+    { readonly status: number; readonly headers: Readonly<Record<string, string>> } | undefined;
+  readonly chunks: List<AnswerChunk>;
+  /** Place of the first byte that is kept. */
+  readonly keptFrom: number;
+  /** Place after the last byte that came. */
+  readonly nextOffset: number;
+  readonly tokens: number;
+  readonly firstTokenAtMs: number | undefined;
+  readonly lastTokenAtMs: number | undefined;
+  readonly endedAtMs: number | undefined;
+  readonly usage: { readonly prefillTokens: number; readonly decodeTokens: number } | undefined;
+  readonly failure: 'notRun' | 'unknown' | undefined;
+}
--- /dev/null
+++ b/packages/side/src/runs/vacateRun.ts
@@ -0,0 +1,11 @@
+import type { SideState } from '../sideState.js';
+import type { Run } from './run.js';
+import { passPrefill } from '../window/passPrefill.js';
+import { vacate } from '../window/vacate.js';
+
+/** The state with the room of an active run given back; the run itself is not changed. */
+export const vacateRun = (state: SideState, run: Run): SideState => {
+  const occupancy =
+    run.firstTokenAtMs === undefined ? passPrefill(state.occupancy, run.work) : state.occupancy;
+  return { ...state, occupancy: vacate(occupancy, run.work) };
+};
--- /dev/null
+++ b/packages/side/src/sideDecisions.ts
@@ -0,0 +1,24 @@
+import type { acceptsConfiguration } from './configuration/acceptsConfiguration.js';
+import type { isGrantLeaseHeld } from './grants/isGrantLeaseHeld.js';
+import type { isGrantUsable } from './grants/isGrantUsable.js';
+import type { acceptsNewWork } from './leaving/acceptsNewWork.js';
+import type { chooseNext } from './queue/chooseNext.js';
+import type { chooseShed } from './queue/chooseShed.js';
+import type { fateOfUnknownGrant } from './runs/fateOfUnknownGrant.js';
+import type { isAlreadyCalled } from './runs/isAlreadyCalled.js';
+import type { shouldCancel } from './runs/shouldCancel.js';
+import type { hasRoom } from './window/hasRoom.js';
+
+/** The guards and policies of a side process; each is the one place that decides its matter. */
+export interface SideDecisions {
+  readonly acceptsConfiguration: typeof acceptsConfiguration;
+  readonly acceptsNewWork: typeof acceptsNewWork;
+  readonly isGrantLeaseHeld: typeof isGrantLeaseHeld;
+  readonly isGrantUsable: typeof isGrantUsable;
+  readonly isAlreadyCalled: typeof isAlreadyCalled;
+  readonly fateOfUnknownGrant: typeof fateOfUnknownGrant;
+  readonly chooseNext: typeof chooseNext;
+  readonly chooseShed: typeof chooseShed;
+  readonly hasRoom: typeof hasRoom;
+  readonly shouldCancel: typeof shouldCancel;
+}
