Let operators check, publish, choose presets, drain and look by one command

Cause: operators race one another and the log's answers can be lost, so a change has to be appended once, read back and judged by the same fold as everywhere. Ruled out: repeating an append whose answer was lost (reading settles it), and the argument library's exit code for bad use, which says the same as a failure. Change: parsleyhall with settings check, configuration publish, show and diff, preset list and use, host drain and restore, status; exit codes 0, 1 and 2; failures as one union with one place that words them. Conclusion: races, lost answers, an outage and a trimmed stream are tested in the process over a log in memory.

--- /dev/null
+++ b/packages/operator/src/commandLine/commandOptions.ts
@@ -0,0 +1,7 @@
+/** Options as the command line gives them; an option of another command is absent. */
+export interface CommandOptions {
+  readonly settings?: string;
+  readonly json: boolean;
+  readonly as?: string;
+  readonly watch: boolean;
+}
--- /dev/null
+++ b/packages/operator/src/failure/formatFailure.ts
@@ -0,0 +1,89 @@
+import { assertNever } from '@parsleyhall/common';
+import type { ConfigurationVerdict } from '@parsleyhall/configuration';
+import type { LogFailure } from '@parsleyhall/platform';
+import { formatTable } from '../commandLine/formatTable.js';
+import type { OperatorFailure } from './operatorFailure.js';
+
+const formatPlatformFailure = (service: string, failure: LogFailure): string => {
+  switch (failure.type) {
+    case 'unavailable':
+      return `The ${service} cannot be reached: ${failure.detail}. Nothing was changed; try again later.`;
+    case 'rateLimited':
+      return `The ${service} is over its rate. Nothing was changed; try again in ${failure.retryAfterMs} ms.`;
+    case 'outcomeUnknown':
+      return `The answer of the ${service} was lost: ${failure.detail}.`;
+    case 'trimmed':
+      return `The ${service} keeps records from offset ${failure.earliestOffset} on only.`;
+    case 'malformed':
+      return `The ${service} answered outside its protocol: ${failure.detail}.`;
+    case 'aborted':
+      return `The call to the ${service} was stopped.`;
+    default:
+      return assertNever(failure);
+  }
+};
+
+const formatVerdict = (verdict: ConfigurationVerdict): string => {
+  switch (verdict.type) {
+    case 'unknownPreset':
+      return `There is no preset ${verdict.preset}. Presets: ${verdict.knownPresets.join(', ')}.`;
+    case 'presetInForceMissing':
+      return `The document lacks the preset in force, ${verdict.preset}. Keep it, or put another in force first by: parsleyhall preset use NAME.`;
+    case 'noDocument':
+      return 'Nothing is published yet. Start by: parsleyhall configuration publish FILE.';
+    case 'invalidRecord':
+      return `The record is not valid:\n${formatFaults(verdict.faults)}`;
+    case 'staleBase':
+      return `The change was based on version ${verdict.base}; the current one is ${verdict.currentVersion}.`;
+    case 'repeated':
+    case 'checkpointRead':
+    case 'accepted':
+      return `Unexpected verdict on the change: ${verdict.type}.`;
+    default:
+      return assertNever(verdict);
+  }
+};
+
+const formatFaults = (
+  faults: readonly { readonly path: string; readonly found: string; readonly allowed: string }[],
+): string =>
+  formatTable({
+    head: ['path', 'found', 'allowed'],
+    rows: faults.map(({ path, found, allowed }) => [path, found, allowed]),
+  });
+
+/** The text of a failure for an operator: what happened, and what to do. */
+export const formatFailure = (failure: OperatorFailure): string => {
+  switch (failure.type) {
+    case 'badUse':
+      return failure.detail;
+    case 'fileUnreadable':
+      return `Cannot read ${failure.file}: ${failure.detail}.`;
+    case 'fileUnwritable':
+      return `Cannot write ${failure.file}: ${failure.detail}.`;
+    case 'notJson':
+      return `${failure.file} is no JSON: ${failure.detail}.`;
+    case 'faultyDocument':
+      return `${failure.file}: ${failure.faults.length} faults\n${formatFaults(failure.faults)}`;
+    case 'unknownDocument':
+      return `${failure.file} is none of: ${failure.kinds.join(', ')}. Name the kind by --as.`;
+    case 'logFailed':
+      return formatPlatformFailure('log', failure.failure);
+    case 'hostListFailed':
+      return formatPlatformFailure('list of hosts', failure.failure);
+    case 'configurationTrimmed':
+      return `The log keeps records from offset ${failure.earliestOffset} on and no checkpoint that covers those before. Processes that run keep their configuration and append a checkpoint; try again shortly.`;
+    case 'noConfiguration':
+      return 'No configuration is published yet. Start by: parsleyhall configuration publish FILE.';
+    case 'lostRace':
+      return `Lost the race: ${failure.winner ?? 'another operator'} changed the configuration to version ${failure.currentVersion} while this change was based on ${failure.base}. Nothing of yours is in force. Look at it by: parsleyhall configuration show, then give your command again if it still fits.`;
+    case 'refused':
+      return `Refused: ${formatVerdict(failure.verdict)}`;
+    case 'outcomeUnsettled':
+      return `The log's answer was lost and the change (publication ${failure.publicationId}) has not shown yet. It may still come into force, but only while version ${failure.base} is the current one. Look by: parsleyhall configuration show.`;
+    case 'noReport':
+      return `There is nothing to report on: ${failure.detail}.`;
+    default:
+      return assertNever(failure);
+  }
+};
--- /dev/null
+++ b/packages/operator/src/failure/getExitCode.ts
@@ -0,0 +1,5 @@
+import type { OperatorFailure } from './operatorFailure.js';
+
+/** Exit code of a failed command: 1 when it ran and failed, 2 when it was used wrongly. */
+export const getExitCode = (failure: OperatorFailure): number =>
+  failure.type === 'badUse' ? 2 : 1;
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export type { Command } from './commandLine/command.js';
+export type { OperatorWorld } from './commandLine/operatorWorld.js';
+export { parseCommandLine } from './commandLine/parseCommandLine.js';
+export { runCommand } from './commandLine/runCommand.js';
+export { operatorSettingsSchema } from './settings/operatorSettingsSchema.js';
--- /dev/null
+++ b/packages/operator/tests/createMemoryLog.ts
@@ -0,0 +1,84 @@
+import { Left, Right } from 'purify-ts';
+import type { LogClient, LogRecord } from '@parsleyhall/platform';
+
+interface MemoryLog {
+  readonly client: LogClient;
+  readonly records: readonly LogRecord[];
+  /** Drops the records before an offset. */
+  readonly trim: (before: number) => void;
+  readonly setOutage: (isOut: boolean) => void;
+  /** Runs once before the next append takes effect. */
+  readonly beforeNextAppend: (run: () => Promise<void>) => void;
+  /** The next append's answer is lost, after it took effect or instead. */
+  readonly loseNextAnswer: (isTaken: boolean) => void;
+}
+
+/** A log in memory with one stream and the failures of a real one. */
+export const createMemoryLog = (): MemoryLog => {
+  const records: LogRecord[] = [];
+  let earliestOffset = 1;
+  let isOut = false;
+  let beforeAppend: (() => Promise<void>) | undefined;
+  let lostAnswer: { readonly isTaken: boolean } | undefined;
+
+  const take = (values: readonly unknown[]): number => {
+    const firstOffset = records.length + 1;
+    const added = values.map((value, index) => ({
+      offset: firstOffset + index,
+      appendedAtMs: 0,
+      // As over the wire: what JSON drops is dropped here too.
+      value: JSON.parse(JSON.stringify(value)) as unknown,
+    }));
+    records.push(...added);
+    return firstOffset;
+  };
+
+  const client: LogClient = {
+    append: async ({ records: values }) => {
+      const run = beforeAppend;
+      beforeAppend = undefined;
+      await run?.();
+      if (isOut) {
+        return Left({ type: 'unavailable', detail: 'outage' });
+      }
+      const lost = lostAnswer;
+      lostAnswer = undefined;
+      if (lost?.isTaken === false) {
+        return Left({ type: 'outcomeUnknown', detail: 'lost' });
+      }
+      const firstOffset = take(values);
+      return lost === undefined
+        ? Right({ firstOffset, nextOffset: records.length + 1 })
+        : Left({ type: 'outcomeUnknown', detail: 'lost' });
+    },
+    read: ({ from, limit }) => {
+      if (isOut) {
+        return Promise.resolve(Left({ type: 'unavailable', detail: 'outage' }));
+      }
+      if (from < earliestOffset) {
+        return Promise.resolve(Left({ type: 'trimmed', earliestOffset }));
+      }
+      const read = records.filter(({ offset }) => offset >= from).slice(0, limit);
+      const nextOffset = from + read.length;
+      const endOffset = records.length + 1;
+      return Promise.resolve(Right({ from, earliestOffset, nextOffset, endOffset, records: read }));
+    },
+    [Symbol.asyncDispose]: () => Promise.resolve(),
+  };
+  return {
+    client,
+    records,
+    trim: (before) => {
+      earliestOffset = before;
+    },
+    setOutage: (value) => {
+      isOut = value;
+    },
+    beforeNextAppend: (run) => {
+      beforeAppend = run;
+    },
+    loseNextAnswer: (isTaken) => {
+      lostAnswer = { isTaken };
+    },
+  };
+};
--- /dev/null
+++ b/packages/operator/tests/createTestOperator.ts
@@ -0,0 +1,94 @@
+import { Left, Right } from 'purify-ts';
+import type { HostList, LogClient, ProcessStatus } from '@parsleyhall/platform';
+import { type OperatorWorld, parseCommandLine, runCommand } from '@parsleyhall/operator';
+
+interface CommandRun {
+  readonly exitCode: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
+interface TestOperator {
+  /** Runs a command line, split at spaces. */
+  readonly run: (line: string) => Promise<CommandRun>;
+  /** Runs a command line with `--json`. */
+  readonly runJson: (line: string) => Promise<unknown>;
+  readonly written: ReadonlyMap<string, string>;
+}
+
+let publications = 0;
+
+/** The operator's command in this process, over a log in memory and files in memory. */
+export const createTestOperator = ({
+  log,
+  name,
+  files = {},
+  hosts = [],
+  statuses = {},
+}: {
+  readonly log: LogClient;
+  readonly name: string;
+  readonly files?: Readonly<Record<string, unknown>>;
+  readonly hosts?: HostList['hosts'];
+  readonly statuses?: Readonly<Record<string, ProcessStatus>>;
+}): TestOperator => {
+  const written = new Map<string, string>();
+  const settings = {
+    log: { address: '127.0.0.1:1' },
+    hostList: { address: '127.0.0.1:2' },
+    operator: name,
+  };
+  const allFiles: Readonly<Record<string, unknown>> = { ...files, 'operator.json': settings };
+
+  const newWorld = (print: string[], errors: string[]): OperatorWorld => ({
+    openLog: () => log,
+    openHostList: () => ({
+      list: () => Promise.resolve(Right({ asOfMs: 0, hosts })),
+      [Symbol.asyncDispose]: () => Promise.resolve(),
+    }),
+    getStatus: (address) => {
+      const status = statuses[address];
+      return Promise.resolve(
+        status === undefined ? Left({ type: 'unavailable', detail: 'silent' }) : Right(status),
+      );
+    },
+    readFile: (file) =>
+      Promise.resolve(
+        file in allFiles
+          ? Right(JSON.stringify(allFiles[file]))
+          : Left({ type: 'fileUnreadable', file, detail: 'missing' }),
+      ),
+    writeFile: (file, text) => {
+      written.set(file, text);
+      return Promise.resolve(Right(undefined));
+    },
+    print: (text) => {
+      print.push(text);
+    },
+    printError: (text) => {
+      errors.push(text);
+    },
+    newPublicationId: () => {
+      publications += 1;
+      return `publication-${publications}`;
+    },
+    getNowMs: () => 0,
+    wait: () => Promise.resolve(),
+    isStopped: () => false,
+  });
+
+  const run = async (line: string): Promise<CommandRun> => {
+    const output: string[] = [];
+    const errors: string[] = [];
+    const command = parseCommandLine([...line.split(' '), '--settings', 'operator.json']);
+    const exitCode =
+      command === undefined ? -1 : await runCommand(command, newWorld(output, errors));
+    return { exitCode, output: output.join('\n'), errors: errors.join('\n') };
+  };
+
+  return {
+    run,
+    runJson: async (line) => JSON.parse((await run(`${line} --json`)).output) as unknown,
+    written,
+  };
+};
