--- /dev/null
+++ b/packages/bench/src/workload/engineModel.ts
@@ -0,0 +1,10 @@
+/** What a step of the measured engines costs, in engine milliseconds at speed 1. */
+export const ENGINE_MODEL = {
+  stepBaseMs: 6,
+  stepPerRunningMs: 0.15,
+  stepPerPrefillTokenMs: 0.02,
+  prefillChunkTokens: 512,
+  maximumRunning: 64,
+  keyValueTokens: 120_000,
+  cacheTokens: 20_000,
+} as const;
--- a/packages/standIns/src/engine/engineCounters.ts
+++ b/packages/standIns/src/engine/engineCounters.ts
@@ -3,7 +3,14 @@
 
 type Run = EngineStats['runsByLabel'][string];
 
-const NEW_RUN: Run = { runs: 0, prefillTokens: 0, cachedTokens: 0, tokensDone: 0, outcome: 'open' };
+const NEW_RUN: Run = {
+  runs: 0,
+  prefillTokens: 0,
+  cachedTokens: 0,
+  tokensDone: 0,
+  arrivedAtMs: 0,
+  outcome: 'open',
+};
 
 /** Counts what an engine does. */
 export class EngineCounters {
@@ -22,7 +29,11 @@
   /** Notes that a request was taken in. */
   countRun({ requestId, label }: EngineRequest): void {
     this.runsByRequest.set(requestId, (this.runsByRequest.get(requestId) ?? 0) + 1);
-    this.update(label, (run) => ({ ...run, runs: run.runs + 1 }));
+    this.update(label, (run) => ({
+      ...run,
+      runs: run.runs + 1,
+      arrivedAtMs: run.arrivedAtMs === 0 ? Date.now() : run.arrivedAtMs,
+    }));
   }
 
   /** Notes what the prefix cache spared a request. */
--- a/packages/standIns/src/engine/engineStats.ts
+++ b/packages/standIns/src/engine/engineStats.ts
@@ -4,6 +4,8 @@
   readonly prefillTokens: number;
   readonly cachedTokens: number;
   readonly tokensDone: number;
+  /** Wall clock of the first run's arrival, in milliseconds since 1970. */
+  readonly arrivedAtMs: number;
   readonly outcome: 'open' | 'ended' | 'cancelled';
 }
 
--- a/packages/standIns/src/main.ts
+++ b/packages/standIns/src/main.ts
@@ -3,6 +3,7 @@
 import { startListStandIn } from './list/startListStandIn.js';
 import { startLogStandIn } from './log/startLogStandIn.js';
 import type { StandIn } from './server/standIn.js';
+import { startRelayStandIn } from './relay/startRelayStandIn.js';
 import { startServiceStandIn } from './service/startServiceStandIn.js';
 
 type Start = (settings: object) => Promise<StandIn>;
@@ -12,6 +13,7 @@
   list: startListStandIn,
   engine: startEngineStandIn,
   service: startServiceStandIn,
+  relay: startRelayStandIn,
 };
 
 const { values, positionals } = parseArgs({
--- /dev/null
+++ b/packages/standIns/src/relay/startRelayStandIn.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod';
+import type { Relay } from './relay.js';
+import { startRelay } from './startRelay.js';
+
+const settingsSchema = z.strictObject({ target: z.string(), delayMs: z.number().min(0) });
+
+/** Starts a relay from settings that are checked first. */
+export const startRelayStandIn = async (input: object): Promise<Relay> =>
+  startRelay(settingsSchema.parse(input));
