Take callers' requests over HTTP and check them at the border

Cause: the entry needs its callers' side: routes, headers, bounds and typed refusals. Nothing was measured.

--- /dev/null
+++ b/packages/daemon/src/callers/border/readBody.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage } from 'node:http';
+import type { Either } from 'purify-ts';
+import { Left, Right } from 'purify-ts';
+import { newInvalidRequest } from '../problems/newInvalidRequest.js';
+import type { InvalidRequest } from '../problems/invalidRequest.js';
+
+/** Reads a request's body up to a bound; a connection cut meanwhile is a malformed request. */
+export const readBody = (
+  request: IncomingMessage,
+  maximumBytes: number,
+): Promise<Either<InvalidRequest, Uint8Array>> => {
+  const tooLarge = Left(newInvalidRequest('bodyTooLarge', `At most ${maximumBytes} bytes.`));
+  if (Number(request.headers['content-length'] ?? 0) > maximumBytes) {
+    return Promise.resolve(tooLarge);
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const takeChunk = (chunk: Buffer): void => {
+      length += chunk.length;
+      if (length > maximumBytes) {
+        request.off('data', takeChunk);
+        request.resume();
+        resolve(tooLarge);
+        return;
+      }
+      chunks.push(chunk);
+    };
+    request.on('data', takeChunk);
+    request.once('end', () => {
+      resolve(Right(Buffer.concat(chunks)));
+    });
+    request.once('close', () => {
+      resolve(Left(newInvalidRequest('malformedRequest', 'The connection was cut.')));
+    });
+    request.once('error', () => {
+      resolve(Left(newInvalidRequest('malformedRequest', 'The body could not be read.')));
+    });
+  });
+};
--- /dev/null
+++ b/packages/daemon/src/callers/border/receivedRequest.ts
@@ -0,0 +1,14 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { RequestId } from '@parsleyhall/common';
+
+/** A request as it came in, its body read whole. */
+export interface ReceivedRequest {
+  readonly requestId: RequestId;
+  readonly method: string;
+  /** Path with query, as sent. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Uint8Array;
+  /** Arrival on the monotonic clock, in milliseconds. */
+  readonly arrivedAtMs: number;
+}
--- /dev/null
+++ b/packages/daemon/src/callers/callerTarget.ts
@@ -0,0 +1,2 @@
+/** What a caller asks for: an answer of a model or of a plain service. */
+export type CallerTarget = 'model' | 'service';
--- /dev/null
+++ b/packages/daemon/src/callers/problems/sendProblem.ts
@@ -0,0 +1,17 @@
+import type { ServerResponse } from 'node:http';
+import { formatProblem } from './formatProblem.js';
+import type { Problem } from './problem.js';
+
+/** Answers with a problem document; does nothing once the connection is gone. */
+export const sendProblem = (
+  response: ServerResponse,
+  problem: Problem,
+  requestId?: string,
+): void => {
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  const { status, headers, body } = formatProblem(problem, requestId);
+  response.writeHead(status, headers);
+  response.end(body);
+};
--- /dev/null
+++ b/packages/daemon/src/metrics/metricLabels.ts
@@ -0,0 +1,2 @@
+/** Labels of one series, by name. */
+export type MetricLabels = Readonly<Record<string, string>>;
