--- /dev/null
+++ b/packages/daemon/src/link/startLinkServer.ts
@@ -0,0 +1,150 @@
+import { Metadata, Server, ServerCredentials, status } from '@grpc/grpc-js';
+import type { ServerDuplexStream } from '@grpc/grpc-js';
+import type { EntryId } from '@parsleyhall/common';
+import {
+  decodeEntryToSideMessage,
+  encodeSideToEntryMessage,
+  linkService,
+} from '@parsleyhall/protocol';
+import type { EntryToSideMessage, MalformedMessage } from '@parsleyhall/protocol';
+import type { ListenerAddress } from '../process/listenerAddress.js';
+import { linkOptions } from './linkOptions.js';
+import type { LinkServer } from './linkServer.js';
+
+type Stream = ServerDuplexStream<Uint8Array, Uint8Array>;
+
+const PORT_SUFFIX = /:\d+$/;
+
+const getPeerAddress = (stream: Stream): string =>
+  stream
+    .getPeer()
+    .replace(PORT_SUFFIX, '')
+    .replace(/^\[|\]$/g, '');
+
+const refuse = (stream: Stream, code: status, details: string): void => {
+  stream.emit('error', { code, details });
+};
+
+const bind = (server: Server, { address, port }: ListenerAddress): Promise<string> => {
+  const host = address.includes(':') ? `[${address}]` : address;
+  return new Promise((resolve, reject) => {
+    server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, bound) => {
+      if (error === null) {
+        resolve(`${host}:${bound}`);
+        return;
+      }
+      reject(error);
+    });
+  });
+};
+
+/** Listens for entries. A stream counts from its first message, which must be `hello`; a newer one takes its place. */
+export const startLinkServer = async ({
+  listen,
+  maximumBodyBytes,
+  isAllowedPeer,
+  onConnected,
+  onMessage,
+  onDisconnected,
+  onMalformed,
+  onRefused,
+}: {
+  readonly listen: ListenerAddress;
+  readonly maximumBodyBytes: number;
+  readonly isAllowedPeer: (address: string) => boolean;
+  readonly onConnected: (entry: EntryId) => void;
+  readonly onMessage: (entry: EntryId, message: EntryToSideMessage) => void;
+  readonly onDisconnected: (entry: EntryId) => void;
+  readonly onMalformed: (fault: MalformedMessage) => void;
+  readonly onRefused: (address: string) => void;
+}): Promise<LinkServer> => {
+  const streams = new Map<EntryId, Stream>();
+  const server = new Server(linkOptions(maximumBodyBytes));
+
+  const drop = (entry: EntryId, stream: Stream): void => {
+    if (streams.get(entry) === stream) {
+      streams.delete(entry);
+      onDisconnected(entry);
+    }
+  };
+
+  const admit = (entry: EntryId, stream: Stream): void => {
+    const earlier = streams.get(entry);
+    if (earlier !== undefined) {
+      drop(entry, earlier);
+      earlier.end();
+    }
+    streams.set(entry, stream);
+    onConnected(entry);
+  };
+
+  const serve = (stream: Stream): void => {
+    let entry: EntryId | undefined;
+    const takeFirst = (message: EntryToSideMessage): void => {
+      if (message.type !== 'hello') {
+        refuse(stream, status.FAILED_PRECONDITION, 'the first message must be hello');
+        return;
+      }
+      entry = message.entry;
+      admit(entry, stream);
+      onMessage(entry, message);
+    };
+    const take = (message: EntryToSideMessage): void => {
+      if (entry === undefined) {
+        takeFirst(message);
+        return;
+      }
+      if (streams.get(entry) === stream) {
+        onMessage(entry, message);
+      }
+    };
+    const lose = (): void => {
+      if (entry !== undefined) {
+        drop(entry, stream);
+      }
+    };
+    stream.on('data', (bytes: Uint8Array) => {
+      decodeEntryToSideMessage(bytes).caseOf({ Left: onMalformed, Right: take });
+    });
+    stream.on('error', lose);
+    stream.on('cancelled', lose);
+    stream.on('close', lose);
+    stream.on('end', () => {
+      lose();
+      stream.end();
+    });
+    stream.sendMetadata(new Metadata());
+  };
+
+  server.addService(linkService, {
+    link: (stream: Stream) => {
+      const address = getPeerAddress(stream);
+      if (!isAllowedPeer(address)) {
+        onRefused(address);
+        refuse(stream, status.PERMISSION_DENIED, 'this peer is not among those allowed');
+        return;
+      }
+      serve(stream);
+    },
+  });
+
+  const address = await bind(server, listen);
+  return {
+    address,
+    send: (entry, message) => {
+      streams.get(entry)?.write(encodeSideToEntryMessage(message));
+    },
+    close: (entry) => {
+      const stream = streams.get(entry);
+      if (stream !== undefined) {
+        drop(entry, stream);
+        stream.end();
+      }
+    },
+    [Symbol.asyncDispose]: () => {
+      streams.clear();
+      server.forceShutdown();
+      return Promise.resolve();
+    },
+  };
+};
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,8 +1,10 @@
 import { defineConfig } from 'vitest/config';
 
 export default defineConfig({
-  resolve: { conditions: ['source'] },
-  ssr: { resolve: { conditions: ['source'], externalConditions: ['source'] } },
+  resolve: { conditions: ['parsleyhall-source'] },
+  ssr: {
+    resolve: { conditions: ['parsleyhall-source'], externalConditions: ['parsleyhall-source'] },
+  },
   test: {
     include: ['packages/*/src/**/*.test.ts', 'packages/*/tests/**/*.test.ts'],
     pool: 'forks',
