--- a/packages/daemon/src/callers/problems/getFailureProblem.ts
+++ b/packages/daemon/src/callers/problems/getFailureProblem.ts
@@ -24,6 +24,7 @@
 > = {
   otherRequest: ['idempotencyKeyOfOtherRequest', 'The key was first used with another request.'],
   tooOld: ['idempotencyKeyTooOld', 'The key is older than the records of keys are kept.'],
+  answerNotKept: ['answerNotKept', 'The run is done; its answer was too large to keep.'],
   malformed: ['malformedIdempotencyKey', 'The key must be a UUID of version 7.'],
 };
 
--- a/packages/daemon/src/callers/problems/getInvalidProblem.ts
+++ b/packages/daemon/src/callers/problems/getInvalidProblem.ts
@@ -17,6 +17,7 @@
   unknownPath: [404, 'There is nothing at this path'],
   requestTooSlow: [408, 'The request came too slowly'],
   idempotencyKeyTooOld: [409, 'The Idempotency-Key is too old'],
+  answerNotKept: [409, 'The request ran, but its answer is not kept'],
   bodyTooLarge: [413, 'The body is too large'],
   idempotencyKeyOfOtherRequest: [422, 'The Idempotency-Key belongs to another request'],
   headersTooLarge: [431, 'The headers are too large'],
--- a/packages/daemon/src/callers/problems/invalidReason.ts
+++ b/packages/daemon/src/callers/problems/invalidReason.ts
@@ -13,6 +13,7 @@
   | 'unknownPath'
   | 'requestTooSlow'
   | 'idempotencyKeyTooOld'
+  | 'answerNotKept'
   | 'bodyTooLarge'
   | 'idempotencyKeyOfOtherRequest'
   | 'headersTooLarge';
