--- a/packages/side/src/createSideReducer.ts
+++ b/packages/side/src/createSideReducer.ts
@@ -26,7 +26,7 @@
     const expired = expireGrants(context, { ...state, lastNowMs: event.nowMs });
     const handled = andThen(expired, (next) => handleEvent(context, next, event));
     const granted = andThen(handled, (next) => issueGrants(context, next));
-    return andThen(granted, finishStop);
+    return andThen(granted, (next) => finishStop(context, next));
   };
   return { initialState: newSideState(settings), reduce };
 };
--- a/packages/side/src/defaultSideDecisions.ts
+++ b/packages/side/src/defaultSideDecisions.ts
@@ -3,6 +3,7 @@
 import { isGrantLeaseHeld } from './grants/isGrantLeaseHeld.js';
 import { isGrantUsable } from './grants/isGrantUsable.js';
 import { acceptsNewWork } from './leaving/acceptsNewWork.js';
+import { mayStop } from './leaving/mayStop.js';
 import { chooseNext } from './queue/chooseNext.js';
 import { chooseShed } from './queue/chooseShed.js';
 import { fateOfUnknownGrant } from './runs/fateOfUnknownGrant.js';
@@ -22,4 +23,5 @@
   chooseShed,
   hasRoom,
   shouldCancel,
+  mayStop,
 };
--- a/packages/side/src/sideDecisions.ts
+++ b/packages/side/src/sideDecisions.ts
@@ -2,6 +2,7 @@
 import type { isGrantLeaseHeld } from './grants/isGrantLeaseHeld.js';
 import type { isGrantUsable } from './grants/isGrantUsable.js';
 import type { acceptsNewWork } from './leaving/acceptsNewWork.js';
+import type { mayStop } from './leaving/mayStop.js';
 import type { chooseNext } from './queue/chooseNext.js';
 import type { chooseShed } from './queue/chooseShed.js';
 import type { fateOfUnknownGrant } from './runs/fateOfUnknownGrant.js';
@@ -21,4 +22,5 @@
   readonly chooseShed: typeof chooseShed;
   readonly hasRoom: typeof hasRoom;
   readonly shouldCancel: typeof shouldCancel;
+  readonly mayStop: typeof mayStop;
 }
