--- a/packages/entry/src/createEntryReducer.ts
+++ b/packages/entry/src/createEntryReducer.ts
@@ -87,7 +87,7 @@
         nowMs: event.nowMs,
         wallMs: event.wallMs,
       };
-      const start: EntryStep = { state, effects: [] };
+      const start: EntryStep = { state: { ...state, lastNowMs: event.nowMs }, effects: [] };
       // Due times go first: after a pause nothing may be started that is over its deadline.
       const attended = attendDueRequests(scope, start);
       return stopWhenDone(scope, handle(scope, attended, event));
--- a/packages/entry/src/entryState.ts
+++ b/packages/entry/src/entryState.ts
@@ -9,6 +9,7 @@
 
 /** Everything an entry knows; lost with the process. */
 export interface EntryState {
+  readonly lastNowMs: number;
   readonly configuration: ConfigurationState;
   readonly sides: ImmutableMap<SideId, SideLink>;
   readonly pools: ImmutableMap<PoolName, PoolState>;
--- a/packages/entry/src/newEntryState.ts
+++ b/packages/entry/src/newEntryState.ts
@@ -5,6 +5,7 @@
 
 /** The state of an entry that has just started. */
 export const newEntryState = (): EntryState => ({
+  lastNowMs: 0,
   configuration: EMPTY_CONFIGURATION,
   sides: ImmutableMap(),
   pools: ImmutableMap(),
--- a/packages/entry/src/sides/receiveFromSide.ts
+++ b/packages/entry/src/sides/receiveFromSide.ts
@@ -13,8 +13,6 @@
 import { receiveAboutRequest } from './receiveAboutRequest.js';
 import { updateLink } from './updateLink.js';
 
-const HEARD_GRANULARITY_MS = 50;
-
 type Message<Type extends SideToEntryMessage['type']> = Extract<SideToEntryMessage, { type: Type }>;
 
 const receiveGrant = (
@@ -75,14 +73,6 @@
 ): EntryStep =>
   shareConfiguration(updateLink(step, side, { configurationVersion }), side, configurationVersion);
 
-/** Notes that the side process is alive; not for each of many messages, since every note copies what is known of it. */
-const noteHeard = (scope: EntryScope, step: EntryStep, side: SideId): EntryStep => {
-  const link = step.state.sides.get(side);
-  return link === undefined || scope.nowMs - link.lastHeardMs < HEARD_GRANULARITY_MS
-    ? step
-    : updateLink(step, side, { lastHeardMs: scope.nowMs });
-};
-
 /** Takes in one message of a side process. */
 export const receiveFromSide = (
   scope: EntryScope,
@@ -90,7 +80,7 @@
   side: SideId,
   message: SideToEntryMessage,
 ): EntryStep => {
-  const heard = noteHeard(scope, step, side);
+  const heard = updateLink(step, side, { lastHeardMs: scope.nowMs });
   switch (message.type) {
     case 'hello':
       return greetSide(scope, heard, side, message);
--- /dev/null
+++ b/packages/fuzz/src/oracle/timeWindow.ts
@@ -0,0 +1,5 @@
+/** A span of virtual time, in milliseconds. */
+export interface TimeWindow {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
--- /dev/null
+++ b/packages/fuzz/src/schedule/faultKinds.ts
@@ -0,0 +1,23 @@
+/** The failures that a schedule may hold; each is tried alone, in pairs and all together. */
+export const FAULT_KINDS = [
+  'killEntry',
+  'killSide',
+  'pauseEntry',
+  'pauseSide',
+  'cutLink',
+  'disturbLink',
+  'logOutage',
+  'logSlow',
+  'loseAppendAnswers',
+  'listOutage',
+  'slowTarget',
+  'stallTarget',
+  'killTarget',
+  'burst',
+  'publish',
+  'raceOperators',
+  'drain',
+  'listLeaving',
+  'stopEntry',
+  'stopSide',
+] as const;
--- /dev/null
+++ b/packages/fuzz/src/teeth/answerFaults.ts
@@ -0,0 +1,35 @@
+import type { DeliberateFault } from './deliberateFault.js';
+
+/** Faults against the whole own answer, and against shedding from the lowest tier up. */
+export const ANSWER_FAULTS: readonly DeliberateFault[] = [
+  {
+    name: 'an answer taken up again from its first byte',
+    promise: 'wholeOwnAnswer',
+    kinds: ['cutLink'],
+    entry: { getResumeByte: () => 0 },
+  },
+  {
+    name: 'an answer taken up again one byte late',
+    promise: 'wholeOwnAnswer',
+    kinds: ['cutLink'],
+    entry: { getResumeByte: ({ answer }) => answer.bytesReceived + 1 },
+  },
+  {
+    name: 'a cut answer called whole',
+    promise: 'wholeOwnAnswer',
+    kinds: ['disturbLink'],
+    entry: { isWholeAnswer: () => true },
+  },
+  {
+    name: 'shedding by arrival at an entry',
+    promise: 'sheddingOrder',
+    kinds: ['burst'],
+    entry: { shedsLowerTierFirst: () => false },
+  },
+  {
+    name: 'shedding the first in order at a side process',
+    promise: 'sheddingOrder',
+    kinds: ['burst'],
+    side: { chooseShed: ({ byRequest }) => byRequest.first() },
+  },
+];
