Report how the service-level objectives are met and what wasted prefill costs

Cause: boards ask for the bill and the promises in one page, and the processes keep nothing. Ruled out: scraping the processes' counters (a replaced host takes its counts with it) and one objective for the whole window (a change of preset within it would be judged wrongly). Change: report burn reads the entries' summaries from the log, finds the start of its window by halving, judges each span by the preset it arose under, and prints a table, JSON or a page with plots as SVG. The page's text was read as SVG; no browser or converter was at hand to look at it as a picture.

--- a/packages/configuration/src/check/checkDocument.ts
+++ b/packages/configuration/src/check/checkDocument.ts
@@ -63,7 +63,13 @@
     .join(' or ');
 };
 
-const formatAllowed = (issue: Issue): string => {
+// The library's own messages begin so; any other was given by a schema and says what is allowed.
+const LIBRARY_MESSAGE = /^(Invalid|Too|Unrecognized) /;
+
+const formatAllowed = (issue: Issue): string =>
+  LIBRARY_MESSAGE.test(issue.message) ? formatRule(issue) : issue.message;
+
+const formatRule = (issue: Issue): string => {
   switch (issue.code) {
     case 'invalid_type':
       return issue.expected;
--- a/packages/operator/src/commandLine/commandOptions.ts
+++ b/packages/operator/src/commandLine/commandOptions.ts
@@ -4,4 +4,7 @@
   readonly json: boolean;
   readonly as?: string;
   readonly watch: boolean;
+  readonly html?: string;
+  readonly long?: string;
+  readonly short?: string;
 }
--- a/packages/operator/src/commandLine/createOperatorWorld.ts
+++ b/packages/operator/src/commandLine/createOperatorWorld.ts
@@ -50,8 +50,9 @@
         Left({ type: 'fileUnreadable', file, detail: getDetail(error) }),
       ),
     writeFile: (file, text) =>
-      writeFile(file, text).then(Right, (error: unknown) =>
-        Left({ type: 'fileUnwritable', file, detail: getDetail(error) }),
+      writeFile(file, text).then(
+        () => Right(undefined),
+        (error: unknown) => Left({ type: 'fileUnwritable', file, detail: getDetail(error) }),
       ),
     print: (text) => {
       process.stdout.write(`${text}\n`);
--- a/packages/operator/src/commandLine/operatorWorld.ts
+++ b/packages/operator/src/commandLine/operatorWorld.ts
@@ -14,7 +14,7 @@
   /** Asks a process's operators' listener for its status. */
   readonly getStatus: (address: string) => Promise<Either<PlatformFailure, ProcessStatus>>;
   readonly readFile: (file: string) => Promise<Either<OperatorFailure, string>>;
-  readonly writeFile: (file: string, text: string) => Promise<Either<OperatorFailure, void>>;
+  readonly writeFile: (file: string, text: string) => Promise<Either<OperatorFailure, undefined>>;
   readonly print: (text: string) => void;
   readonly printError: (text: string) => void;
   readonly newPublicationId: () => string;
--- a/packages/operator/src/commandLine/parseCommandLine.ts
+++ b/packages/operator/src/commandLine/parseCommandLine.ts
@@ -1,3 +1,4 @@
+import { EitherAsync, Left } from 'purify-ts';
 import sade from 'sade';
 import { diffConfiguration } from '../configuration/diffConfiguration.js';
 import { publishConfiguration } from '../configuration/publishConfiguration.js';
@@ -5,6 +6,7 @@
 import { changeHost } from '../host/changeHost.js';
 import { listPresets } from '../preset/listPresets.js';
 import { usePreset } from '../preset/usePreset.js';
+import { reportBurn } from '../report/reportBurn.js';
 import { checkSettingsFile } from '../settings/checkSettingsFile.js';
 import { showStatus } from '../status/showStatus.js';
 import { watchStatus } from '../status/watchStatus.js';
@@ -86,6 +88,41 @@
       newSessionCommand(options, options.watch ? watchStatus : showStatus),
     );
 
+const MS_PER_MINUTE = 60_000;
+const LONG_WINDOW_MINUTES = 1_440;
+const SHORT_WINDOW_MINUTES = 60;
+
+const runBurnReport = (options: CommandOptions): Command => {
+  const longMinutes = Number(options.long ?? LONG_WINDOW_MINUTES);
+  const shortMinutes = Number(options.short ?? SHORT_WINDOW_MINUTES);
+  const isOrdered = shortMinutes > 0 && shortMinutes <= longMinutes && Number.isFinite(longMinutes);
+  const windows = {
+    longWindowMs: longMinutes * MS_PER_MINUTE,
+    shortWindowMs: shortMinutes * MS_PER_MINUTE,
+    htmlFile: options.html,
+  };
+  return newSessionCommand(options, (session) =>
+    isOrdered
+      ? reportBurn(session, windows)
+      : EitherAsync.liftEither(
+          Left({
+            type: 'badUse',
+            detail: '--short and --long take minutes above 0, the short window within the long.',
+          }),
+        ),
+  );
+};
+
+const addReportCommands = (program: sade.Sade): sade.Sade =>
+  program
+    .command('report burn')
+    .describe('Report objectives, error budgets and wasted prefill, by tier and team.')
+    .option('--long', `Long window in minutes; ${LONG_WINDOW_MINUTES} by default`)
+    .option('--short', `Short window in minutes; ${SHORT_WINDOW_MINUTES} by default`)
+    .option('--html', 'Write a page with plots to this file as well')
+    .example('report burn --settings operator.json --html burn.html')
+    .action(runBurnReport);
+
 // Under help and version the library prints and returns nothing, which its types leave out.
 const parseLazily = (
   program: sade.Sade,
@@ -93,7 +130,7 @@
 ): sade.LazyOutput | undefined =>
   program.parse(['', '', ...programArguments], {
     lazy: true,
-    string: ['settings', 'as', 'html'],
+    string: ['settings', 'as', 'html', 'long', 'short'],
     boolean: ['json', 'watch'],
     unknown: (flag) => `Unknown option: ${flag}`,
   });
@@ -112,6 +149,7 @@
   addPresetCommands(program);
   addHostCommands(program);
   addStatusCommands(program);
+  addReportCommands(program);
   const parsed = parseLazily(program, programArguments);
   return parsed?.handler(...parsed.args) as Command | undefined;
 };
--- a/packages/operator/src/configuration/diffConfiguration.ts
+++ b/packages/operator/src/configuration/diffConfiguration.ts
@@ -17,7 +17,7 @@
       readDocument(world, file, configurationDocumentSchema),
     );
     const { reader } = await steps.fromPromise(readHistory(log));
-    const differences = getDifference(reader.state.document, document);
+    const differences = getDifference(reader.state.document ?? {}, document);
     return {
       text: formatDifference(differences),
       json: { version: reader.state.version, differences },
--- a/packages/operator/src/configuration/publishConfiguration.ts
+++ b/packages/operator/src/configuration/publishConfiguration.ts
@@ -19,7 +19,7 @@
       readDocument(world, file, configurationDocumentSchema),
     );
     const history = await steps.fromPromise(readHistory(log));
-    const differences = getDifference(history.reader.state.document, document);
+    const differences = getDifference(history.reader.state.document ?? {}, document);
     world.printError(formatDifference(differences));
     const state = await steps.fromPromise(
       submitChange(session, history, {
--- /dev/null
+++ b/packages/operator/src/report/burnReport.ts
@@ -0,0 +1,14 @@
+import type { BurnPoint } from './burnPoint.js';
+import type { BurnRow } from './burnRow.js';
+
+/** The service-level burn report over two windows that end together. */
+export interface BurnReport {
+  /** End of both windows on the wall clock, in milliseconds. */
+  readonly untilMs: number;
+  readonly longWindowMs: number;
+  readonly shortWindowMs: number;
+  readonly presetInForce: string | undefined;
+  readonly tiers: readonly BurnRow[];
+  readonly teams: readonly BurnRow[];
+  readonly timeline: readonly BurnPoint[];
+}
--- /dev/null
+++ b/packages/operator/src/report/getBurnSamples.ts
@@ -0,0 +1,28 @@
+import type { ConfigurationDocument, Preset } from '@parsleyhall/configuration';
+import type { ReportRecord } from '@parsleyhall/platform';
+import type { BurnSample } from './burnSample.js';
+
+// A summary under a preset that has since been removed is judged by the one in force.
+const findPreset = (
+  document: ConfigurationDocument,
+  name: string,
+  presetInForce: string | undefined,
+): Preset | undefined =>
+  document.presets.find((preset) => preset.name === name) ??
+  document.presets.find((preset) => preset.name === presetInForce);
+
+/** Joins the entries' summaries with the objectives and prices of the presets under which they arose. */
+export const getBurnSamples = (
+  records: readonly ReportRecord[],
+  document: ConfigurationDocument,
+  presetInForce: string | undefined,
+): readonly BurnSample[] =>
+  records.flatMap((record) => {
+    const preset = findPreset(document, record.presetInForce, presetInForce);
+    return record.rows.map((row) => ({
+      row,
+      toMs: record.toMs,
+      objective: preset?.tiers.find(({ tier }) => tier === row.tier)?.objective ?? 0,
+      pricePerMillionPrefillTokens: preset?.pricePerMillionPrefillTokens ?? 0,
+    }));
+  });
--- /dev/null
+++ b/packages/operator/src/report/page/renderBurnPage.ts
@@ -0,0 +1,67 @@
+import type { BurnReport } from '../burnReport.js';
+import type { BurnRow } from '../burnRow.js';
+import { BURN_TABLE } from '../burnTable.js';
+import { formatBurnValue } from '../formatBurnValue.js';
+import { escapeHtml } from './escapeHtml.js';
+import { getBurnPlots } from './getBurnPlots.js';
+import { PAGE_STYLE } from './pageStyle.js';
+import { renderPlot } from './renderPlot.js';
+
+const renderTable = (rows: readonly BurnRow[]): string => {
+  const head = BURN_TABLE.map(({ title }) => `<th>${escapeHtml(title)}</th>`).join('');
+  const body = rows
+    .map((row) => BURN_TABLE.map(({ format }) => `<td>${escapeHtml(format(row))}</td>`).join(''))
+    .map((cells) => `<tr>${cells}</tr>`)
+    .join('\n');
+  return `<table><thead><tr>${head}</tr></thead><tbody>\n${body}\n</tbody></table>`;
+};
+
+const renderSummary = ({ tiers }: BurnReport): string => {
+  const overspent = tiers.filter(({ budgetLeft }) => (budgetLeft ?? -1) < 0);
+  const wasted = tiers.reduce((total, row) => total + row.wastedPrefillTokens, 0);
+  const wastedCost = tiers.reduce((total, row) => total + row.wastedPrefillCost, 0);
+  const state =
+    overspent.length === 0
+      ? 'Every tier is within its error budget.'
+      : `Over its error budget: tier ${overspent.map(({ tier }) => tier).join(', ')}.`;
+  const { count, cost } = formatBurnValue;
+  return `${state} Wasted prefill: ${count(wasted)} tokens, ${cost(wastedCost)} at the presets' prices.`;
+};
+
+const renderPlots = async (report: BurnReport): Promise<string> => {
+  const figures: string[] = [];
+  for (const { title, note, specification } of getBurnPlots(report)) {
+    const plot = await renderPlot(specification);
+    figures.push(
+      `<figure><h2>${escapeHtml(title)}</h2>${plot}<figcaption>${escapeHtml(note)}</figcaption></figure>`,
+    );
+  }
+  return figures.join('\n');
+};
+
+const formatTime = (atMs: number): string => new Date(atMs).toISOString().replace('.000Z', 'Z');
+
+/** Renders the burn report as one HTML page that needs nothing else and prints well. */
+export const renderBurnPage = async (report: BurnReport): Promise<string> => {
+  const { untilMs, longWindowMs, shortWindowMs, presetInForce } = report;
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width">
+<title>Service-level burn</title>
+<style>${PAGE_STYLE}</style>
+</head>
+<body>
+<h1>Service-level burn</h1>
+<p class="summary">${escapeHtml(renderSummary(report))}</p>
+<p>From ${formatTime(untilMs - longWindowMs)} to ${formatTime(untilMs)} (long window); short window from ${formatTime(untilMs - shortWindowMs)}. Preset in force: ${escapeHtml(presetInForce ?? 'none')}.</p>
+<h2>By tier</h2>
+${renderTable(report.tiers)}
+${await renderPlots(report)}
+<h2>By tier and team</h2>
+${renderTable(report.teams)}
+</body>
+</html>
+`;
+};
--- a/packages/operator/tests/createMemoryLog.ts
+++ b/packages/operator/tests/createMemoryLog.ts
@@ -1,9 +1,12 @@
 import { Left, Right } from 'purify-ts';
+import { CONFIGURATION_STREAM } from '@parsleyhall/configuration';
 import type { LogClient, LogRecord } from '@parsleyhall/platform';
 
 interface MemoryLog {
   readonly client: LogClient;
   readonly records: readonly LogRecord[];
+  /** Sets the wall clock that appends are marked with. */
+  readonly setNowMs: (nowMs: number) => void;
   /** Drops the records before an offset. */
   readonly trim: (before: number) => void;
   readonly setOutage: (isOut: boolean) => void;
@@ -13,19 +16,26 @@
   readonly loseNextAnswer: (isTaken: boolean) => void;
 }
 
-/** A log in memory with one stream and the failures of a real one. */
+/** A log in memory with the failures of a real one; `trim` applies to its configuration stream. */
 export const createMemoryLog = (): MemoryLog => {
-  const records: LogRecord[] = [];
-  let earliestOffset = 1;
+  const streams = new Map<string, LogRecord[]>();
+  let trimmedTo = 1;
+  let nowMs = 0;
   let isOut = false;
   let beforeAppend: (() => Promise<void>) | undefined;
   let lostAnswer: { readonly isTaken: boolean } | undefined;
 
-  const take = (values: readonly unknown[]): number => {
+  const getRecords = (stream: string): LogRecord[] => {
+    const records = streams.get(stream) ?? [];
+    streams.set(stream, records);
+    return records;
+  };
+
+  const take = (records: LogRecord[], values: readonly unknown[]): number => {
     const firstOffset = records.length + 1;
     const added = values.map((value, index) => ({
       offset: firstOffset + index,
-      appendedAtMs: 0,
+      appendedAtMs: nowMs,
       // As over the wire: what JSON drops is dropped here too.
       value: JSON.parse(JSON.stringify(value)) as unknown,
     }));
@@ -34,7 +44,7 @@
   };
 
   const client: LogClient = {
-    append: async ({ records: values }) => {
+    append: async ({ stream, records: values }) => {
       const run = beforeAppend;
       beforeAppend = undefined;
       await run?.();
@@ -46,12 +56,15 @@
       if (lost?.isTaken === false) {
         return Left({ type: 'outcomeUnknown', detail: 'lost' });
       }
-      const firstOffset = take(values);
+      const records = getRecords(stream);
+      const firstOffset = take(records, values);
       return lost === undefined
         ? Right({ firstOffset, nextOffset: records.length + 1 })
         : Left({ type: 'outcomeUnknown', detail: 'lost' });
     },
-    read: ({ from, limit }) => {
+    read: ({ stream, from, limit }) => {
+      const records = getRecords(stream);
+      const earliestOffset = stream === CONFIGURATION_STREAM ? trimmedTo : 1;
       if (isOut) {
         return Promise.resolve(Left({ type: 'unavailable', detail: 'outage' }));
       }
@@ -67,9 +80,12 @@
   };
   return {
     client,
-    records,
+    records: getRecords(CONFIGURATION_STREAM),
+    setNowMs: (value) => {
+      nowMs = value;
+    },
     trim: (before) => {
-      earliestOffset = before;
+      trimmedTo = before;
     },
     setOutage: (value) => {
       isOut = value;
--- a/packages/operator/tests/createTestOperator.ts
+++ b/packages/operator/tests/createTestOperator.ts
@@ -25,12 +25,14 @@
   files = {},
   hosts = [],
   statuses = {},
+  nowMs = 0,
 }: {
   readonly log: LogClient;
   readonly name: string;
   readonly files?: Readonly<Record<string, unknown>>;
   readonly hosts?: HostList['hosts'];
   readonly statuses?: Readonly<Record<string, ProcessStatus>>;
+  readonly nowMs?: number;
 }): TestOperator => {
   const written = new Map<string, string>();
   const settings = {
@@ -72,7 +74,7 @@
       publications += 1;
       return `publication-${publications}`;
     },
-    getNowMs: () => 0,
+    getNowMs: () => nowMs,
     wait: () => Promise.resolve(),
     isStopped: () => false,
   });
