--- a/packages/bench/src/demo/findDemoFaults.ts
+++ b/packages/bench/src/demo/findDemoFaults.ts
@@ -18,7 +18,7 @@
       ({ call, result, reason, status }) =>
         `${call.label} (${call.kind}): ${result} ${reason} ${status}`,
     );
-  const checks = Object.entries(report.checks)
+  const checks = Object.entries({ ...report.checks })
     .filter(([, count]) => count > 0)
     .map(([name, count]) => `${name}: ${count}`);
   const bindingRuns = record.serviceRunsByKey[bindingKey] ?? 0;
--- /dev/null
+++ b/packages/bench/src/measure/measureOptions.ts
@@ -0,0 +1,19 @@
+import type { PolicyName } from '../policies/policyName.js';
+import type { Deployment } from '../workload/deployment.js';
+import type { FaultName } from './faultName.js';
+
+/** What to measure. */
+export interface MeasureOptions {
+  readonly deployment: Deployment;
+  readonly load: number;
+  readonly fault: FaultName;
+  /** Policies to run one after the other on the same arrivals. */
+  readonly policies: readonly PolicyName[];
+  readonly seed: number;
+  /** Length of the arrivals of one run, in wall milliseconds. */
+  readonly durationMs: number;
+  /** Engine milliseconds in a wall millisecond. */
+  readonly timeScale: number;
+  /** File to write the figures to, if any. */
+  readonly jsonFile: string | undefined;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/main.ts
@@ -0,0 +1,75 @@
+import { writeFile } from 'node:fs/promises';
+import { parseArgs } from 'node:util';
+import { getCommit } from '../measure/getCommit.js';
+import { formatTable } from '../report/formatTable.js';
+import type { HeapSlope } from './heapSlope.js';
+import { measureHeapBytes } from './measureHeapBytes.js';
+import { newEntryScenario } from './newEntryScenario.js';
+import { newSideScenario } from './newSideScenario.js';
+import type { ScenarioSize } from './scenarioSize.js';
+import type { SlopeRow } from './slopeRow.js';
+import { SLOPE_SIZES } from './slopeSizes.js';
+import { timeSteps } from './timeSteps.js';
+
+const STEP_TIME_MS = 200;
+const BASE: ScenarioSize = { waiting: 100, peers: 3, teams: 5 };
+const SCENARIOS = { entry: newEntryScenario, side: newSideScenario } as const;
+const ROLES = ['entry', 'side'] as const;
+const DIMENSIONS = ['waiting', 'peers', 'teams'] as const;
+
+const { values } = parseArgs({
+  options: {
+    json: { type: 'string', default: '' },
+    time: { type: 'string', default: String(STEP_TIME_MS) },
+  },
+});
+
+const measureHeapSlope = (
+  role: (typeof ROLES)[number],
+  dimension: keyof ScenarioSize,
+): HeapSlope => {
+  const sizes = SLOPE_SIZES[dimension];
+  const [small, large] = [sizes[0], sizes[2]];
+  const measureAt = (size: number): number =>
+    measureHeapBytes(() => SCENARIOS[role]({ ...BASE, [dimension]: size }).state);
+  measureAt(small);
+  const bytesEach = (measureAt(large) - measureAt(small)) / (large - small);
+  return { role, dimension, bytesEach };
+};
+
+const rows: SlopeRow[] = [];
+const heap: HeapSlope[] = [];
+for (const role of ROLES) {
+  for (const dimension of DIMENSIONS) {
+    heap.push(measureHeapSlope(role, dimension));
+    for (const size of SLOPE_SIZES[dimension]) {
+      const scenario = SCENARIOS[role]({ ...BASE, [dimension]: size });
+      const timeMs = Number(values.time);
+      rows.push(...(await timeSteps({ role, dimension, size, scenario, timeMs })));
+    }
+  }
+}
+
+const commit = await getCommit();
+const tables = [
+  `reducers, median of ${values.time} ms a step, commit ${commit}`,
+  formatTable(
+    ['role', 'step', 'grows', 'size', 'µs an event', 'events a second'],
+    rows.map((row) => [
+      row.role,
+      row.step,
+      row.dimension,
+      row.size,
+      row.microsecondsPerEvent.toFixed(2),
+      Math.round(row.eventsPerSecond),
+    ]),
+  ),
+  formatTable(
+    ['role', 'one more', 'heap bytes'],
+    heap.map(({ role, dimension, bytesEach }) => [role, dimension, Math.round(bytesEach)]),
+  ),
+];
+process.stdout.write(`${tables.join('\n')}\n`);
+if (values.json !== '') {
+  await writeFile(values.json, `${JSON.stringify({ commit, rows, heap }, null, 2)}\n`);
+}
