--- /dev/null
+++ b/packages/daemon/src/entryShell/newEntrySettings.ts
@@ -0,0 +1,25 @@
+import type { EntryId, Incarnation } from '@parsleyhall/common';
+import type { EntrySettings } from '@parsleyhall/entry';
+import type { EntrySettingsFile } from '../settings/entrySettingsFile.js';
+
+/** What the reducer of a new incarnation needs of the settings file. */
+export const newEntrySettings = (
+  file: EntrySettingsFile,
+  incarnation: Incarnation,
+): EntrySettings => ({
+  entry: file.process as EntryId,
+  incarnation,
+  host: file.host,
+  dataCentre: file.dataCentre,
+  heartbeatMs: file.heartbeatMs,
+  peerTimeoutMs: file.peerTimeoutMs,
+  settleAllowanceMs: file.settleAllowanceMs,
+  reservationsPerRequest: file.reservationsPerRequest,
+  ...(file.sidesPerPool === undefined ? {} : { sidesPerPool: file.sidesPerPool }),
+  maximumWaiting: file.maximumWaiting,
+  maximumWaitingBytes: file.maximumWaitingBytes,
+  keyPartitions: file.keyPartitions,
+  logRetentionMs: file.logRetentionMs,
+  clockToleranceMs: file.clockToleranceMs,
+  longPrefillTokens: file.longPrefillTokens,
+});
--- /dev/null
+++ b/packages/daemon/src/entryShell/toListedHosts.ts
@@ -0,0 +1,20 @@
+import type { SideId } from '@parsleyhall/common';
+import type { HostList } from '@parsleyhall/platform';
+import type { EntryEventBody } from './entryEventBody.js';
+
+/** The platform's list as the entry's event. */
+export const toListedHosts = ({ hosts }: HostList): EntryEventBody => {
+  const entries = hosts.filter(({ role, state }) => role === 'entry' && state === 'live');
+  return {
+    type: 'hostsListed',
+    hosts: hosts
+      .filter(({ role }) => role === 'target')
+      .map(({ host, process, address, state }) => ({
+        host,
+        side: process as SideId,
+        address,
+        isLeaving: state === 'leaving',
+      })),
+    liveEntries: Math.max(1, entries.length),
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/operators/startOperatorListener.ts
@@ -0,0 +1,35 @@
+import { createServer } from 'node:http';
+import { H3, toNodeHandler } from 'h3';
+import type { ProcessStatus } from '@parsleyhall/platform';
+import { closeHttp } from '../process/closeHttp.js';
+import type { ListenerAddress } from '../process/listenerAddress.js';
+import { listenHttp } from '../process/listenHttp.js';
+
+/** Begins to answer operators on `/status` and `/metrics`; connections of others than the settings allow are dropped. */
+export const startOperatorListener = async ({
+  listen,
+  isAllowedPeer,
+  getStatus,
+  formatMetrics,
+}: {
+  readonly listen: ListenerAddress;
+  readonly isAllowedPeer: (address: string | undefined) => boolean;
+  readonly getStatus: () => ProcessStatus;
+  readonly formatMetrics: () => string;
+}): Promise<AsyncDisposable & { readonly address: string }> => {
+  const app = new H3()
+    .get('/status', () => Response.json(getStatus()))
+    .get('/metrics', () => new Response(formatMetrics()))
+    .get('/healthz', () => new Response('ok\n'));
+  const handle = toNodeHandler(app);
+  const server = createServer((request, response) => {
+    void handle(request, response);
+  });
+  server.on('connection', (socket) => {
+    if (!isAllowedPeer(socket.remoteAddress)) {
+      socket.destroy();
+    }
+  });
+  const address = await listenHttp(server, listen);
+  return { address, [Symbol.asyncDispose]: () => closeHttp(server) };
+};
--- a/packages/daemon/src/settings/entrySettingsFileSchema.ts
+++ b/packages/daemon/src/settings/entrySettingsFileSchema.ts
@@ -8,6 +8,7 @@
   ...shared,
   settleAllowanceMs: milliseconds.default(2_000),
   reservationsPerRequest: count.default(8),
+  sidesPerPool: count.optional(),
   maximumWaiting: count.default(10_000),
   maximumWaitingBytes: count.default(134_217_728),
   keyPartitions: z.int().min(1).max(64).default(4),
--- /dev/null
+++ b/packages/daemon/src/sideShell/newSideSettings.ts
@@ -0,0 +1,25 @@
+import type { Incarnation, SideId } from '@parsleyhall/common';
+import type { SideSettings } from '@parsleyhall/side';
+import type { SideSettingsFile } from '../settings/sideSettingsFile.js';
+
+/** What the reducer of a new incarnation needs of the settings file. */
+export const newSideSettings = (
+  file: SideSettingsFile,
+  incarnation: Incarnation,
+): SideSettings => ({
+  side: file.process as SideId,
+  incarnation,
+  host: file.host,
+  dataCentre: file.dataCentre,
+  pool: file.target.pool,
+  models: file.target.models,
+  kind: file.target.kind,
+  initialWindowRequests: file.initialWindowRequests,
+  maximumWindowRequests: file.maximumWindowRequests,
+  grantLeaseMs: file.grantLeaseMs,
+  heartbeatMs: file.heartbeatMs,
+  peerTimeoutMs: file.peerTimeoutMs,
+  answerRetentionMs: file.answerRetentionMs,
+  maximumWaiting: file.maximumWaiting,
+  longPrefillTokens: file.longPrefillTokens,
+});
--- /dev/null
+++ b/packages/daemon/src/sideShell/startSide.ts
@@ -0,0 +1,189 @@
+import { v7 as newUuid } from 'uuid';
+import type { Incarnation } from '@parsleyhall/common';
+import type { ConfigurationState } from '@parsleyhall/configuration';
+import { createHostListClient, createLogClient } from '@parsleyhall/platform';
+import type { HostList, LogFailure } from '@parsleyhall/platform';
+import { createSideReducer } from '@parsleyhall/side';
+import type { SideEffect, SideEvent, SideState } from '@parsleyhall/side';
+import { startLinkServer } from '../link/startLinkServer.js';
+import { createEventLoop } from '../loop/createEventLoop.js';
+import { getMonotonicMs } from '../loop/getMonotonicMs.js';
+import { createMetrics } from '../metrics/createMetrics.js';
+import { registerProcessGauges } from '../metrics/registerProcessGauges.js';
+import { startOperatorListener } from '../operators/startOperatorListener.js';
+import { pollHostList } from '../platformReaders/pollHostList.js';
+import { startConfigurationFollower } from '../platformReaders/startConfigurationFollower.js';
+import { createLatch } from '../process/createLatch.js';
+import { createDisposalStack } from '../process/createDisposalStack.js';
+import { createPeerCheck } from '../process/createPeerCheck.js';
+import type { ProcessLogger } from '../process/processLogger.js';
+import type { RunningProcess } from '../process/runningProcess.js';
+import { startTicks } from '../process/startTicks.js';
+import type { SideSettingsFile } from '../settings/sideSettingsFile.js';
+import { createTargetClient } from '../target/createTargetClient.js';
+import { followTarget } from '../target/followTarget.js';
+import { getSideStatus } from './getSideStatus.js';
+import { newSideSettings } from './newSideSettings.js';
+import { runSideEffect } from './runSideEffect.js';
+import type { SideEventBody } from './sideEventBody.js';
+import { toSideFailureEvent } from './toSideFailureEvent.js';
+
+/** Starts a side process; rejects when a listener cannot be bound. */
+export const startSide = async ({
+  file,
+  logger,
+  createReducer = createSideReducer,
+}: {
+  readonly file: SideSettingsFile;
+  readonly logger: ProcessLogger;
+  readonly createReducer?: typeof createSideReducer;
+}): Promise<RunningProcess> => {
+  const settings = newSideSettings(file, newUuid() as Incarnation);
+  const parts = createDisposalStack();
+  const metrics = createMetrics();
+  const stopping = createLatch();
+  registerProcessGauges(metrics);
+
+  const dispatch = (body: SideEventBody): void => {
+    loop.dispatch(body);
+  };
+  const noteLogFailure = (failure: LogFailure): void => {
+    if (failure.type === 'aborted') {
+      return;
+    }
+    metrics.increment('log_failures_total', { type: failure.type });
+    logger.warn({ event: 'logFailed', failure }, 'the log gave no answer');
+  };
+  const takeList = ({ hosts }: HostList): void => {
+    const own = hosts.find(({ process }) => process === file.process);
+    if (own?.state === 'leaving') {
+      dispatch({ type: 'hostLeaving' });
+    }
+  };
+
+  const logClient = parts.use(createLogClient(file.log));
+  const hostListClient = parts.use(createHostListClient(file.hostList));
+  const target = parts.use(
+    createTargetClient({
+      address: file.target.address,
+      kind: file.target.kind,
+      maximumRequests: file.maximumWindowRequests,
+      onEvent: dispatch,
+    }),
+  );
+
+  const { initialState, reduce } = createReducer(settings);
+  const runEffect = (effect: SideEffect): void => {
+    runSideEffect(effectParts, effect);
+  };
+  const loop = createEventLoop<SideState, SideEvent, SideEventBody, SideEffect>({
+    initialState,
+    reduce,
+    stampEvent: (body): SideEvent => ({ ...body, nowMs: getMonotonicMs() }),
+    runEffect,
+    toFailureEvent: (effect, error) => {
+      metrics.increment('effect_failures_total', { type: effect.type });
+      logger.error({ event: 'effectFailed', type: effect.type, err: error }, 'effect failed');
+      return toSideFailureEvent(effect);
+    },
+  });
+  const link = parts.use(
+    await startLinkServer({
+      listen: file.listen,
+      maximumBodyBytes: file.maximumBodyBytes,
+      isAllowedPeer: createPeerCheck(file.allowedPeers),
+      onConnected: (entry) => {
+        dispatch({ type: 'entryConnected', entry });
+      },
+      onMessage: (entry, message) => {
+        dispatch({ type: 'entryMessage', entry, message });
+      },
+      onDisconnected: (entry) => {
+        dispatch({ type: 'entryDisconnected', entry });
+      },
+      onMalformed: (fault) => {
+        metrics.increment('malformed_messages_total');
+        logger.warn({ event: 'malformedMessage', fault }, 'a peer sent no message');
+      },
+      onRefused: (address) => {
+        metrics.increment('refused_peers_total');
+        logger.warn({ event: 'peerRefused', address }, 'a peer outside the settings');
+      },
+    }),
+  );
+  const effectParts = {
+    link,
+    target,
+    metrics,
+    logger,
+    putInForce: (inForce: ConfigurationState): void => {
+      follower.adopt(inForce);
+      const { version, presetInForce } = inForce;
+      logger.info({ event: 'configurationInForce', version, presetInForce }, 'in force');
+    },
+    finishStop: stopping.open,
+  };
+  metrics.registerGauge('configuration_version', () => loop.getState().configuration.version);
+  metrics.registerGauge('window_requests', () => Math.floor(loop.getState().window.requests));
+  metrics.registerGauge('running_requests', () => loop.getState().occupancy.requests);
+
+  const follower = parts.use(
+    startConfigurationFollower({
+      client: logClient,
+      process: file.process,
+      retentionMs: file.logRetentionMs,
+      getWallMs: Date.now,
+      newPublicationId: newUuid,
+      onConfiguration: (configuration) => {
+        dispatch({ type: 'configurationFolded', configuration });
+      },
+      onVerdict: (verdict) => {
+        logger.debug({ event: 'configurationVerdict', ...verdict }, 'configuration record');
+      },
+      onFailure: noteLogFailure,
+    }),
+  );
+  const operators = parts.use(
+    await startOperatorListener({
+      listen: file.operatorListen,
+      isAllowedPeer: createPeerCheck(file.allowedOperators),
+      getStatus: () => getSideStatus(settings, loop.getState(), metrics),
+      formatMetrics: metrics.format,
+    }),
+  );
+  parts.use(
+    pollHostList({
+      client: hostListClient,
+      periodMs: file.hostListPollMs,
+      onList: takeList,
+      onFailure: (failure) => {
+        metrics.increment('host_list_failures_total');
+        logger.warn({ event: 'hostListFailed', failure }, 'the list of hosts gave no answer');
+      },
+    }),
+  );
+  if (file.target.kind === 'engine') {
+    parts.use(
+      followTarget({
+        address: file.target.address,
+        loadPollMs: file.loadPollMs,
+        cacheEventPollMs: file.cacheEventPollMs,
+        onEvent: dispatch,
+      }),
+    );
+  }
+  parts.use(
+    startTicks(file.tickMs, () => {
+      dispatch({ type: 'tick' });
+    }),
+  );
+
+  return {
+    listeners: { peers: link.address, operators: operators.address },
+    requestStop: () => {
+      dispatch({ type: 'stopRequested' });
+    },
+    whenStopped: stopping.opened,
+    [Symbol.asyncDispose]: () => parts[Symbol.asyncDispose](),
+  };
+};
