Prove the whole path through separate processes

Cause: the shells were put together but never run end to end. Change: a test starts log, list, engine, service, two side processes and an entry and checks answers byte for byte and one run by key; the handler stays until its answer is sent, as h3 ends the answer of a handler that has returned (found by this test: every answer was empty). The Prometheus text groups the series by name, as the format asks.

--- a/packages/daemon/src/callers/createCallersServer.ts
+++ b/packages/daemon/src/callers/createCallersServer.ts
@@ -13,9 +13,28 @@
 
 type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
+const waitForClose = (response: ServerResponse): Promise<void> =>
+  new Promise((resolve) => {
+    if (response.closed) {
+      resolve();
+      return;
+    }
+    response.once('close', resolve);
+  });
+
+// The library ends the answer when its handler has returned, so that the handler stays until it is sent.
+const serve = async (
+  handle: Handle,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> => {
+  await handle(request, response);
+  await waitForClose(response);
+};
+
 const toEventHandler = (handle: Handle): EventHandler =>
   fromNodeHandler((request, response) =>
-    handle(request as IncomingMessage, response as ServerResponse),
+    serve(handle, request as IncomingMessage, response as ServerResponse),
   );
 
 const sendText = (response: ServerResponse, status: number, text: string): void => {
--- a/packages/daemon/src/metrics/createMetrics.ts
+++ b/packages/daemon/src/metrics/createMetrics.ts
@@ -27,8 +27,15 @@
 
 const getBaseName = (series: string): string => series.split('{')[0] ?? series;
 
-const formatType = (names: Iterable<string>, type: string): readonly string[] =>
-  [...new Set(names)].map((name) => `# TYPE ${name} ${type}`);
+// The format wants all series of one name together, after the line that tells their type.
+const formatGroups = (
+  type: string,
+  lines: readonly { readonly name: string; readonly text: string }[],
+): readonly string[] =>
+  [...new Set(lines.map(({ name }) => name))].flatMap((name) => [
+    `# TYPE ${name} ${type}`,
+    ...lines.filter((line) => line.name === name).map(({ text }) => text),
+  ]);
 
 /** Creates the metrics of a process, empty; names get the project's prefix. */
 export const createMetrics = (): Metrics => {
@@ -60,19 +67,23 @@
     registerGauge: (name, read) => {
       gauges.set(PREFIX + name, read);
     },
-    format: () =>
-      [
-        ...formatType([...counters.keys()].map(getBaseName), 'counter'),
-        ...[...counters].map(([series, value]) => `${series} ${value}`),
-        ...formatType(gauges.keys(), 'gauge'),
-        ...[...gauges].map(([name, read]) => `${name} ${read()}`),
-        ...formatType(
-          [...summaries.values()].map(({ name }) => name),
-          'summary',
-        ),
-        ...[...summaries.values()].flatMap(formatSummary),
+    format: () => {
+      const counterLines = [...counters].map(([series, value]) => ({
+        name: getBaseName(series),
+        text: `${series} ${value}`,
+      }));
+      const gaugeLines = [...gauges].map(([name, read]) => ({ name, text: `${name} ${read()}` }));
+      const summaryLines = [...summaries.values()].map((summary) => ({
+        name: summary.name,
+        text: formatSummary(summary).join('\n'),
+      }));
+      return [
+        ...formatGroups('counter', counterLines),
+        ...formatGroups('gauge', gaugeLines),
+        ...formatGroups('summary', summaryLines),
         '',
-      ].join('\n'),
+      ].join('\n');
+    },
     getCounters: () => Object.fromEntries(counters),
   };
 };
--- /dev/null
+++ b/packages/daemon/tests/wholePath.test.ts
@@ -0,0 +1,45 @@
+import { v7 as newUuid } from 'uuid';
+import { expect, test } from 'vitest';
+import { getExpectedServiceAnswer } from '@parsleyhall/stand-ins';
+import { ask } from './support/ask.js';
+import { getExpectedBody } from './support/getExpectedBody.js';
+import { startTestSystem } from './support/startTestSystem.js';
+
+test('calls of both kinds go end to end through separate processes', async () => {
+  await using system = await startTestSystem();
+  const { url } = system;
+
+  for (const isStreaming of [false, true]) {
+    const body = { model: 'small', prompt: 'hello', max_tokens: 5, stream: isStreaming };
+    const answer = await ask({ url, path: '/v1/completions', body });
+    const requestId = answer.headers.get('x-request-id') ?? '';
+    const { text } = answer;
+    expect(answer.status).toBe(200);
+    expect(text).toBe(
+      getExpectedBody({ requestId, prompt: 'hello', answerTokens: 5, isStreaming, text }),
+    );
+  }
+
+  const call = { a: 1 };
+  const status = await ask({ url, path: '/services/portal/status?x=1', body: call });
+  const expected = { method: 'POST', path: '/status?x=1', body: JSON.stringify(call) };
+  expect(status.text).toBe(getExpectedServiceAnswer(expected));
+
+  const key = newUuid();
+  const bind = (body: object) =>
+    ask({ url, path: '/services/portal/domains/1', body, headers: { 'idempotency-key': key } });
+  const [first, repeat] = [await bind(call), await bind(call)];
+  expect(first.status).toBe(200);
+  expect(repeat.text).toBe(first.text);
+  expect(await bind({ a: 2 })).toMatchObject({ status: 422 });
+  const runs = await fetch(`http://${system.service.address}/control/runs`);
+  expect(await runs.json()).toMatchObject({ byKey: { [key]: 1 } });
+
+  const metrics = await fetch(`${url}/metrics`);
+  expect(await metrics.text()).toContain('parsleyhall_time_to_first_token_milliseconds_count');
+
+  system.entry.signal('SIGTERM');
+  expect(await system.entry.exited).toBe(0);
+  system.engineSide.signal('SIGTERM');
+  expect(await system.engineSide.exited).toBe(0);
+});
