Describe how to operate, with a settings reference made from the schemas

Cause: operators need one page for the commands and for what to do when something fails. Ruled out: writing the reference by hand, which goes out of date with the schemas. Change: docs/OPERATING.md, docs/SETTINGS.md by npm run docs:settings, settings check for both daemons, refusals on the caller's side left out of the burn report's count.

--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -2,4 +2,5 @@
 export type { OperatorWorld } from './commandLine/operatorWorld.js';
 export { parseCommandLine } from './commandLine/parseCommandLine.js';
 export { runCommand } from './commandLine/runCommand.js';
+export { renderSettingsReference } from './reference/renderSettingsReference.js';
 export { operatorSettingsSchema } from './settings/operatorSettingsSchema.js';
--- a/packages/operator/src/report/burnRow.ts
+++ b/packages/operator/src/report/burnRow.ts
@@ -5,7 +5,7 @@
   readonly tier: Tier;
   /** Absent for all teams of the tier together. */
   readonly team?: string | undefined;
-  /** Requests that count against the objective: all but those over their team's limit. */
+  /** Requests that count against the objective: all but those refused for a fault on the caller's side. */
   readonly counted: number;
   readonly inTime: number;
   readonly late: number;
@@ -13,8 +13,8 @@
   readonly deadlineExceeded: number;
   readonly outcomeUnknown: number;
   readonly failed: number;
-  /** Refused by a limit of their team; not counted. */
-  readonly overTeamLimit: number;
+  /** Over a limit of their team, or with an idempotency key used wrongly. */
+  readonly notCounted: number;
   readonly objective: number;
   readonly achieved: number;
   /** Share of the error budget of the long window that is left; below 0 when overspent, absent without a budget. */
--- a/packages/operator/src/report/computeBurnRow.ts
+++ b/packages/operator/src/report/computeBurnRow.ts
@@ -5,7 +5,8 @@
 import type { BurnSample } from './burnSample.js';
 
 const TOKENS_PER_PRICE = 1_000_000;
-const OVER_TEAM_LIMIT = 'teamLimit';
+// Refusals that the caller's side brought about: a team over its limit, an idempotency key used wrongly.
+const NOT_COUNTED_REASONS = ['teamLimit', 'otherRequest', 'tooOld', 'malformed'];
 const BUCKET_BITS = 64;
 const HISTOGRAM_DIGITS = 2;
 const LONGEST_FIRST_TOKEN_MS = 86_400_000;
@@ -18,9 +19,10 @@
 const sumFields = (fields: Readonly<Record<string, number>>): number =>
   Object.values(fields).reduce((total, value) => total + value, 0);
 
-const getOverTeamLimit: Value = ({ row }) => row.notRunByReason[OVER_TEAM_LIMIT] ?? 0;
+const getNotCounted: Value = ({ row }) =>
+  NOT_COUNTED_REASONS.reduce((total, reason) => total + (row.notRunByReason[reason] ?? 0), 0);
 
-const getCounted: Value = (sample) => sample.row.sent - getOverTeamLimit(sample);
+const getCounted: Value = (sample) => sample.row.sent - getNotCounted(sample);
 
 const getBudget: Value = (sample) => getCounted(sample) * (1 - sample.objective);
 
@@ -93,7 +95,7 @@
 }): BurnRow => {
   const counted = sum(samples, getCounted);
   const inTime = sum(samples, ({ row }) => row.inTime);
-  const overTeamLimit = sum(samples, getOverTeamLimit);
+  const notCounted = sum(samples, getNotCounted);
   const burnRateLong = computeBurnRate(samples);
   const firstTokens = mergeHistograms(samples);
   return {
@@ -102,11 +104,11 @@
     counted,
     inTime,
     late: sum(samples, ({ row }) => row.late),
-    notRun: sum(samples, ({ row }) => sumFields(row.notRunByReason)) - overTeamLimit,
+    notRun: sum(samples, ({ row }) => sumFields(row.notRunByReason)) - notCounted,
     deadlineExceeded: sum(samples, ({ row }) => row.deadlineExceeded),
     outcomeUnknown: sum(samples, ({ row }) => row.outcomeUnknown),
     failed: sum(samples, ({ row }) => row.failed),
-    overTeamLimit,
+    notCounted,
     objective: counted === 0 ? 0 : 1 - sum(samples, getBudget) / counted,
     achieved: counted === 0 ? 1 : inTime / counted,
     budgetLeft: burnRateLong === undefined ? undefined : 1 - burnRateLong,
