Show and settle idempotency keys from the operator's command

Cause: a run whose outcome nobody can tell keeps its key taken; somebody has to be able to find out and say so. Ruled out: freeing such a key by a timeout, which would let it run twice. Before and after: two tests on a log in memory.

--- a/packages/operator/src/commandLine/parseCommandLine.ts
+++ b/packages/operator/src/commandLine/parseCommandLine.ts
@@ -4,6 +4,8 @@
 import { publishConfiguration } from '../configuration/publishConfiguration.js';
 import { showConfiguration } from '../configuration/showConfiguration.js';
 import { changeHost } from '../host/changeHost.js';
+import { settleKey } from '../key/settleKey.js';
+import { showKey } from '../key/showKey.js';
 import { listPresets } from '../preset/listPresets.js';
 import { usePreset } from '../preset/usePreset.js';
 import { reportBurn } from '../report/reportBurn.js';
@@ -78,6 +80,24 @@
       newSessionCommand(options, (session) => changeHost(session, 'restoreHost', name)),
     );
 
+const addKeyCommands = (program: sade.Sade): sade.Sade =>
+  program
+    .command('key show <key>')
+    .describe('Show who owns an idempotency key and what became of its run.')
+    .example('key show 0190b3a2-7c1e-7f00-8a11-2b3c4d5e6f70 --settings operator.json')
+    .action((key: string, options: CommandOptions) =>
+      newSessionCommand(options, (session) => showKey(session, key)),
+    )
+    .command('key settle <key>')
+    .describe('Record the outcome that you found out of a run whose outcome was unknown.')
+    .option('--as', 'The outcome: not-run or done')
+    .example(
+      'key settle 0190b3a2-7c1e-7f00-8a11-2b3c4d5e6f70 --as not-run --settings operator.json',
+    )
+    .action((key: string, options: CommandOptions) =>
+      newSessionCommand(options, (session) => settleKey(session, key, options.as)),
+    );
+
 const addStatusCommands = (program: sade.Sade): sade.Sade =>
   program
     .command('status')
@@ -148,6 +168,7 @@
   addConfigurationCommands(program);
   addPresetCommands(program);
   addHostCommands(program);
+  addKeyCommands(program);
   addStatusCommands(program);
   addReportCommands(program);
   const parsed = parseLazily(program, programArguments);
--- a/packages/operator/src/failure/formatFailure.ts
+++ b/packages/operator/src/failure/formatFailure.ts
@@ -81,6 +81,8 @@
       return `Refused: ${formatVerdict(failure.verdict)}`;
     case 'outcomeUnsettled':
       return `The log's answer was lost and the change (publication ${failure.publicationId}) has not shown yet. It may still come into force, but only while version ${failure.base} is the current one. Look by: parsleyhall configuration show.`;
+    case 'keySettled':
+      return `Key ${failure.key} is ${failure.condition}: there is nothing to settle.`;
     case 'noReport':
       return `There is nothing to report on: ${failure.detail}.`;
     default:
--- /dev/null
+++ b/packages/operator/tests/keys.test.ts
@@ -0,0 +1,38 @@
+import { expect, test } from 'vitest';
+import type { KeyRecord } from '@parsleyhall/entry';
+import { createMemoryLog } from './createMemoryLog.js';
+import { createTestOperator } from './createTestOperator.js';
+
+const KEY = '0190b3a2-7c1e-7f00-8a11-2b3c4d5e6f70';
+
+const append = async (
+  { client }: ReturnType<typeof createMemoryLog>,
+  ...records: readonly KeyRecord[]
+): Promise<void> => {
+  await client.append({ stream: 'keys-0', records });
+};
+
+test('an unknown outcome is shown, settled once as not run, and leaves the key free', async () => {
+  const log = createMemoryLog();
+  const hoda = createTestOperator({ log: log.client, name: 'hoda' });
+  const owned = { key: KEY, attempt: 'a#1' };
+  await append(log, { type: 'start', ...owned, requestFingerprint: 'f' });
+  expect(await hoda.runJson(`key show ${KEY}`)).toMatchObject({ condition: 'running' });
+  await append(log, { type: 'unknown', ...owned });
+  expect(await hoda.runJson(`key show ${KEY}`)).toMatchObject({ condition: 'unknown' });
+  expect(await hoda.run(`key settle ${KEY}`)).toMatchObject({ exitCode: 2 });
+  expect(await hoda.runJson(`key settle ${KEY} --as not-run`)).toMatchObject({ condition: 'free' });
+  const again = await hoda.run(`key settle ${KEY} --as done`);
+  expect(again).toMatchObject({ exitCode: 1 });
+  expect(again.errors).toContain('nothing to settle');
+});
+
+test('a run settled as done keeps its key, and a finished run cannot be settled', async () => {
+  const log = createMemoryLog();
+  const hoda = createTestOperator({ log: log.client, name: 'hoda' });
+  const owned = { key: KEY, attempt: 'a#1' };
+  await append(log, { type: 'start', ...owned, requestFingerprint: 'f' });
+  await append(log, { type: 'unknown', ...owned });
+  expect(await hoda.runJson(`key settle ${KEY} --as done`)).toMatchObject({ condition: 'done' });
+  expect(await hoda.run(`key settle ${KEY} --as not-run`)).toMatchObject({ exitCode: 1 });
+});
