Let the key tests write to the key's own stream

Cause: the log in memory keeps its streams apart now, and the tests wrote to a fixed one. Ruled out: a fault of the command: it reads the key's partition. Change: the tests work the stream out of the key.

--- a/packages/operator/tests/keys.test.ts
+++ b/packages/operator/tests/keys.test.ts
@@ -1,15 +1,18 @@
 import { expect, test } from 'vitest';
-import type { KeyRecord } from '@parsleyhall/entry';
+import { getKeyPartition, getKeyStream, type KeyRecord } from '@parsleyhall/entry';
 import { createMemoryLog } from './createMemoryLog.js';
 import { createTestOperator } from './createTestOperator.js';
 
 const KEY = '0190b3a2-7c1e-7f00-8a11-2b3c4d5e6f70';
 
+const KEY_PARTITIONS = 4;
+const STREAM = getKeyStream(getKeyPartition(KEY, KEY_PARTITIONS));
+
 const append = async (
   { client }: ReturnType<typeof createMemoryLog>,
   ...records: readonly KeyRecord[]
 ): Promise<void> => {
-  await client.append({ stream: 'keys-0', records });
+  await client.append({ stream: STREAM, records });
 };
 
 test('an unknown outcome is shown, settled once as not run, and leaves the key free', async () => {
