Side process: learned window, estimates, shedding and slack

Cause: the window was fixed, nothing was estimated and nothing was shed. Change: the window of an engine grows while tokens come within the preset's bound and shrinks as soon as they do not; a target whose token is overdue by several times the usual gap gets no more work; services use a gradient of the response time; load reports only lower it. Prefill rate, time between tokens by batch size and answer length by team and kind are learned with their error. Work that would miss its deadline is handed back on arrival, when its latest start passes, or instead of a grant. The backlog is shed from the lowest tier up, with the tiers below closed until the load has fallen. The prefill ahead is bounded by tier one's first token. Additive: the event hostReturned undoes hostLeaving; OrderedIndex has last().

--- a/packages/common/src/orderedIndex.test.ts
+++ b/packages/common/src/orderedIndex.test.ts
@@ -10,6 +10,8 @@
       const full = [...byId].reduce((index, [id, rank]) => index.with(rank, id), start);
       const ranks = [...full.values()].map(({ rank }) => rank);
       expect(ranks).toEqual([...byId.values()].sort((left, right) => left - right));
+      expect(full.first()?.rank).toBe(ranks.at(0));
+      expect(full.last()?.rank).toBe(ranks.at(-1));
       expect(start.size).toBe(0);
       const emptied = [...byId].reduce((index, [id, rank]) => index.without(rank, id), full);
       expect(emptied.size).toBe(0);
--- a/packages/common/src/orderedIndex.ts
+++ b/packages/common/src/orderedIndex.ts
@@ -44,6 +44,12 @@
     return key === undefined ? undefined : { rank: key[0], id: key[1] as Id };
   }
 
+  /** The member of the highest rank. */
+  last(): { readonly rank: number; readonly id: Id } | undefined {
+    const key = this.tree.maxKey();
+    return key === undefined ? undefined : { rank: key[0], id: key[1] as Id };
+  }
+
   /** The members in order of rank; stop early by leaving the loop. */
   *values(): IterableIterator<{ readonly rank: number; readonly id: Id }> {
     for (const [rank, id] of this.tree.keys()) {
--- a/packages/side/src/configuration/takeConfiguration.ts
+++ b/packages/side/src/configuration/takeConfiguration.ts
@@ -3,8 +3,10 @@
 import type { SideContext } from '../step/sideContext.js';
 import type { SideStep } from '../step/sideStep.js';
 import { updateLeaving } from '../leaving/updateLeaving.js';
+import { handBackBelow } from '../shedding/handBackBelow.js';
 import { andThen } from '../step/andThen.js';
 import { newStep } from '../step/newStep.js';
+import { newRules } from './newRules.js';
 
 /** Puts a configuration in force when it is newer than the present one. */
 export const takeConfiguration = (
@@ -15,10 +17,12 @@
   if (!context.decisions.acceptsConfiguration(state.configuration, configuration)) {
     return newStep(state);
   }
+  const rules = newRules(configuration);
   const isDrained = configuration.drainedHosts.includes(context.settings.host);
   const inForce = newStep(
-    { ...state, configuration },
+    { ...state, configuration, rules },
     { type: 'configurationInForce', configuration },
   );
-  return andThen(inForce, (next) => updateLeaving(context, next, { isDrained }));
+  const left = andThen(inForce, (next) => updateLeaving(context, next, { isDrained }));
+  return andThen(left, (next) => handBackBelow(context, next, rules.lowestTierAdmitted));
 };
--- a/packages/side/src/createSideReducer.ts
+++ b/packages/side/src/createSideReducer.ts
@@ -23,7 +23,7 @@
   const decisions = { ...DEFAULT_SIDE_DECISIONS, ...replacements };
   const reduce: Reducer<SideState, SideEvent, SideEffect> = (state, event) => {
     const context = { settings, decisions, nowMs: event.nowMs };
-    const expired = expireGrants(context, { ...state, lastNowMs: event.nowMs });
+    const expired = expireGrants(context, state);
     const handled = andThen(expired, (next) => handleEvent(context, next, event));
     const granted = andThen(handled, (next) => issueGrants(context, next));
     return andThen(granted, (next) => finishStop(context, next));
--- a/packages/side/src/grants/issueGrant.ts
+++ b/packages/side/src/grants/issueGrant.ts
@@ -7,13 +7,13 @@
 import { chargeTeam } from '../queue/chargeTeam.js';
 import { takeFromQueue } from '../queue/takeFromQueue.js';
 import { updatePeer } from '../peers/updatePeer.js';
+import { noteDeparture } from '../shedding/noteDeparture.js';
 import { newStep } from '../step/newStep.js';
 import { sendToEntry } from '../step/sendToEntry.js';
 import { occupy } from '../window/occupy.js';
 import { newGrantId } from './newGrantId.js';
 
-const getWeight = (state: SideState, team: TeamName): number =>
-  state.configuration.document?.teams.find(({ name }) => name === team)?.weight ?? 1;
+const getWeight = (state: SideState, team: TeamName): number => state.rules.weights.get(team) ?? 1;
 
 const addGrant = (state: SideState, grant: Grant): SideState => {
   const { grantId, expiresAtMs, waiting } = grant;
@@ -39,7 +39,7 @@
 ): SideStep => {
   const { entry, requestId, work, tokens } = waiting;
   const grantId = newGrantId(settings.incarnation, state.grants.lastCounter + 1);
-  const granted = addGrant(takeFromQueue(state, waiting), {
+  const granted = addGrant(noteDeparture(takeFromQueue(state, waiting), waiting), {
     grantId,
     waiting,
     expiresAtMs: nowMs + settings.grantLeaseMs,
--- a/packages/side/src/handleEvent.ts
+++ b/packages/side/src/handleEvent.ts
@@ -7,22 +7,15 @@
 import { updateLeaving } from './leaving/updateLeaving.js';
 import { connectPeer } from './peers/connectPeer.js';
 import { disconnectPeer } from './peers/disconnectPeer.js';
-import { sendPeriodic } from './peers/sendPeriodic.js';
 import { takeMessage } from './peers/takeMessage.js';
-import { dropPastDeadline } from './queue/dropPastDeadline.js';
-import { expireRuns } from './runs/expireRuns.js';
 import { takeBytes } from './runs/takeBytes.js';
 import { takeEnd } from './runs/takeEnd.js';
 import { takeFailure } from './runs/takeFailure.js';
 import { takeHead } from './runs/takeHead.js';
 import { takeUnknown } from './runs/takeUnknown.js';
-import { andThen } from './step/andThen.js';
 import { newStep } from './step/newStep.js';
-
-const tick = (context: SideContext, state: SideState): SideStep =>
-  andThen(dropPastDeadline(context, expireRuns(context, state)), (next) =>
-    sendPeriodic(context, next),
-  );
+import { tick } from './tick.js';
+import { observeWindow } from './window/observeWindow.js';
 
 /** Handles one event by its type. */
 export const handleEvent = (context: SideContext, state: SideState, event: SideEvent): SideStep => {
@@ -44,12 +37,15 @@
     case 'targetUnknown':
       return takeUnknown(state, event);
     case 'loadReport':
+      return newStep(observeWindow(context, state, { ...event, type: 'report' }));
     case 'cacheEvent':
       return newStep(state);
     case 'configurationFolded':
       return takeConfiguration(context, state, event.configuration);
     case 'hostLeaving':
       return updateLeaving(context, state, { isHostLeaving: true });
+    case 'hostReturned':
+      return updateLeaving(context, state, { isHostLeaving: false });
     case 'stopRequested':
       return updateLeaving(context, state, { isStopRequested: true });
     case 'tick':
--- a/packages/side/src/leaving/mayStop.ts
+++ b/packages/side/src/leaving/mayStop.ts
@@ -1,8 +1,10 @@
-/** Whether a stopping process has nothing left to finish: no run whose answer is awaited and no grant outstanding. */
+/** Whether the process may end after a planned stop: nothing is granted, runs or waits to be fetched. */
 export const mayStop = ({
-  runs,
-  grants,
+  outstandingGrants,
+  activeRequests,
+  keptAnswers,
 }: {
-  readonly runs: number;
-  readonly grants: number;
-}): boolean => runs === 0 && grants === 0;
+  readonly outstandingGrants: number;
+  readonly activeRequests: number;
+  readonly keptAnswers: number;
+}): boolean => outstandingGrants === 0 && activeRequests === 0 && keptAnswers === 0;
--- a/packages/side/src/peers/periodsState.ts
+++ b/packages/side/src/peers/periodsState.ts
@@ -5,5 +5,7 @@
   readonly lastConnection: number;
   readonly heartbeatAtMs: number;
   readonly digestAtMs: number;
+  /** When something last ran on the target, or the estimates were last relaxed. */
+  readonly busyAtMs: number;
   readonly digest: SideDigest | undefined;
 }
--- a/packages/side/src/peers/takeHello.ts
+++ b/packages/side/src/peers/takeHello.ts
@@ -4,6 +4,9 @@
 import type { SideContext } from '../step/sideContext.js';
 import type { SideStep } from '../step/sideStep.js';
 import { syncConfiguration } from '../configuration/syncConfiguration.js';
+import { cancelOrphans } from '../runs/cancelOrphans.js';
+import { andThen } from '../step/andThen.js';
+import { newStep } from '../step/newStep.js';
 import { dropPeerWork } from './dropPeerWork.js';
 import { updatePeer } from './updatePeer.js';
 
@@ -14,18 +17,19 @@
   state: SideState,
   entry: EntryId,
   { incarnation }: Hello,
-): SideState => {
+): SideStep => {
   const peer = state.peers.get(entry);
   const isStale = peer?.formerIncarnation === incarnation;
   if (peer === undefined || isStale || peer.incarnation === incarnation) {
-    return state;
+    return newStep(state);
   }
   const dropped = peer.incarnation === undefined ? state : dropPeerWork(context, state, entry);
-  return updatePeer(dropped, entry, (known) => ({
-    ...known,
+  const known = updatePeer(dropped, entry, ({ incarnation: formerIncarnation, ...rest }) => ({
+    ...rest,
     incarnation,
-    formerIncarnation: known.incarnation,
+    formerIncarnation,
   }));
+  return cancelOrphans(context, known, { entry, incarnation });
 };
 
 /** Learns an entry's incarnation and configuration; a new incarnation knows nothing of the old one's work. */
@@ -35,8 +39,6 @@
   entry: EntryId,
   hello: Hello,
 ): SideStep =>
-  syncConfiguration(
-    learnIncarnation(context, state, entry, hello),
-    entry,
-    hello.configurationVersion,
+  andThen(learnIncarnation(context, state, entry, hello), (next) =>
+    syncConfiguration(next, entry, hello.configurationVersion),
   );
--- a/packages/side/src/peers/takeMessage.ts
+++ b/packages/side/src/peers/takeMessage.ts
@@ -8,7 +8,7 @@
 import { takeConfiguration } from '../configuration/takeConfiguration.js';
 import { declineGrant } from '../grants/declineGrant.js';
 import { takeReservation } from '../queue/takeReservation.js';
-import { withdrawReservation } from '../queue/withdrawReservation.js';
+import { takeWithdrawal } from '../queue/takeWithdrawal.js';
 import { acknowledgeEnd } from '../runs/acknowledgeEnd.js';
 import { answerFate } from '../runs/answerFate.js';
 import { cancelRun } from '../runs/cancelRun.js';
@@ -29,7 +29,7 @@
     case 'reserve':
       return takeReservation(context, state, entry, message.reservation);
     case 'withdraw':
-      return newStep(withdrawReservation(context, state, { ...message, entry }));
+      return newStep(takeWithdrawal(context, state, { ...message, entry }));
     case 'give':
       return useGrant(context, state, entry, message);
     case 'gone':
--- a/packages/side/src/queue/addWaiting.ts
+++ b/packages/side/src/queue/addWaiting.ts
@@ -22,6 +22,7 @@
     long: isLongPrefill ? addToLane(tierQueue.long, member) : tierQueue.long,
     requests: tierQueue.requests + 1,
     tokens: tierQueue.tokens + waiting.tokens,
+    workMs: tierQueue.workMs + waiting.workMs,
   };
 };
 
@@ -31,7 +32,7 @@
     {
       ...queue,
       byRequest: queue.byRequest.set(waiting.requestId, waiting),
-      byDeadline: queue.byDeadline.with(waiting.deadlineMs, waiting.requestId),
+      byLatestStart: queue.byLatestStart.with(waiting.latestStartMs, waiting.requestId),
     },
     waiting.work.tier,
     (tierQueue) => addToTier(tierQueue, waiting),
--- a/packages/side/src/queue/chooseShed.ts
+++ b/packages/side/src/queue/chooseShed.ts
@@ -1,19 +1,24 @@
 import { TIERS } from '@parsleyhall/common';
+import type { Lane } from './lane.js';
 import type { QueueState } from './queueState.js';
 import type { WaitingReservation } from './waitingReservation.js';
-import { chooseNext } from './chooseNext.js';
+import { getTierQueue } from './getTierQueue.js';
 
 const TIERS_FROM_LOWEST = [...TIERS].reverse();
 
-/** The reservation to give up first: of the lowest tier that waits. */
+const getLast = (queue: QueueState, lane: Lane): WaitingReservation | undefined => {
+  const team = lane.teams.last();
+  const last = team && lane.requestsByTeam.get(team.id)?.last();
+  return last && queue.byRequest.get(last.id);
+};
+
+/** The reservation to give up first: of the lowest tier that waits, long before short, the last in order. */
 export const chooseShed = (queue: QueueState): WaitingReservation | undefined => {
-  for (const lowest of TIERS_FROM_LOWEST) {
-    const waiting = chooseNext(queue, {
-      allowsTier: (tier) => tier === lowest,
-      allowsLongPrefills: true,
-    });
-    if (waiting !== undefined) {
-      return waiting;
+  for (const tier of TIERS_FROM_LOWEST) {
+    const { long, short } = getTierQueue(queue, tier);
+    const last = getLast(queue, long) ?? getLast(queue, short);
+    if (last !== undefined) {
+      return last;
     }
   }
   return undefined;
--- a/packages/side/src/queue/emptyQueue.ts
+++ b/packages/side/src/queue/emptyQueue.ts
@@ -14,11 +14,12 @@
   long: EMPTY_LANE,
   requests: 0,
   tokens: 0,
+  workMs: 0,
 };
 
 /** The queue before any reservation. */
 export const EMPTY_QUEUE: QueueState = {
   byRequest: Map(),
-  byDeadline: OrderedIndex.empty(),
+  byLatestStart: OrderedIndex.empty(),
   tiers: [EMPTY_TIER, EMPTY_TIER, EMPTY_TIER, EMPTY_TIER],
 };
--- a/packages/side/src/queue/removeWaiting.ts
+++ b/packages/side/src/queue/removeWaiting.ts
@@ -11,6 +11,7 @@
   const short = isLongPrefill ? tierQueue.short : removeFromLane(tierQueue.short, member);
   const long = isLongPrefill ? removeFromLane(tierQueue.long, member) : tierQueue.long;
   const isIdle = !short.requestsByTeam.has(team) && !long.requestsByTeam.has(team);
+  const requests = tierQueue.requests - 1;
   const isTagSpent = isIdle && tag <= tierQueue.virtualTime;
   return {
     ...tierQueue,
@@ -18,8 +19,9 @@
     idleTeams: isIdle && !isTagSpent ? tierQueue.idleTeams.with(tag, team) : tierQueue.idleTeams,
     short,
     long,
-    requests: tierQueue.requests - 1,
+    requests,
     tokens: tierQueue.tokens - waiting.tokens,
+    workMs: requests === 0 ? 0 : tierQueue.workMs - waiting.workMs,
   };
 };
 
@@ -29,7 +31,7 @@
     {
       ...queue,
       byRequest: queue.byRequest.remove(waiting.requestId),
-      byDeadline: queue.byDeadline.without(waiting.deadlineMs, waiting.requestId),
+      byLatestStart: queue.byLatestStart.without(waiting.latestStartMs, waiting.requestId),
     },
     waiting.work.tier,
     (tierQueue) => removeFromTier(tierQueue, waiting),
--- a/packages/side/src/queue/takeReservation.ts
+++ b/packages/side/src/queue/takeReservation.ts
@@ -1,65 +1,44 @@
 import type { EntryId } from '@parsleyhall/common';
 import type { HandBackReason, Reservation } from '@parsleyhall/protocol';
-import { getPresetInForce } from '@parsleyhall/configuration';
 import type { SideState } from '../sideState.js';
 import type { SideContext } from '../step/sideContext.js';
 import type { SideStep } from '../step/sideStep.js';
-import type { WaitingReservation } from './waitingReservation.js';
+import { closeBelow } from '../shedding/closeBelow.js';
+import { getRetryAfterMs } from '../shedding/getRetryAfterMs.js';
+import { andThen } from '../step/andThen.js';
 import { newStep } from '../step/newStep.js';
 import { sendToEntry } from '../step/sendToEntry.js';
-import { newWork } from './newWork.js';
+import { findRefusal } from './findRefusal.js';
+import { handBack } from './handBack.js';
+import { newWaiting } from './newWaiting.js';
 import { putInQueue } from './putInQueue.js';
 
-const RETRY_AFTER_REFUSAL_MS = 1_000;
-
-const isOwnModel = ({ settings }: SideContext, { model }: Reservation): boolean =>
-  settings.kind === 'service' || settings.models.includes(model);
+const isKnown = (context: SideContext, state: SideState, { requestId }: Reservation): boolean =>
+  state.queue.byRequest.has(requestId) ||
+  state.grants.byRequest.has(requestId) ||
+  context.decisions.isAlreadyCalled(state.called, requestId);
 
-const findRefusal = (
-  context: SideContext,
+const refuse = (
   state: SideState,
-  reservation: Reservation,
-): HandBackReason | undefined => {
-  const preset = getPresetInForce(state.configuration);
-  if (!context.decisions.acceptsNewWork(state.leaving)) {
-    return 'draining';
-  }
-  if (preset === undefined) {
-    return 'noConfiguration';
-  }
-  if (reservation.pool !== context.settings.pool || !isOwnModel(context, reservation)) {
-    return 'wrongPool';
-  }
-  if (reservation.tier > preset.lowestTierAdmitted) {
-    return 'shed';
-  }
-  return undefined;
-};
-
-const newWaiting = (
-  { settings, nowMs }: SideContext,
   entry: EntryId,
-  reservation: Reservation,
-): WaitingReservation => {
-  const deadlineMs = nowMs + reservation.deadlineLeftMs;
-  const { firstTokenLeftMs } = reservation;
-  return {
-    requestId: reservation.requestId,
-    entry,
-    work: newWork(reservation, settings.longPrefillTokens),
-    arrivedAtMs: nowMs,
-    deadlineMs,
-    firstTokenByMs: firstTokenLeftMs === undefined ? undefined : nowMs + firstTokenLeftMs,
-    latestStartMs: deadlineMs,
-    tokens: reservation.prefillTokens + reservation.decodeTokens,
-    expiredGrants: 0,
-  };
+  { requestId, tier }: Pick<Reservation, 'requestId' | 'tier'>,
+  reason: HandBackReason,
+): SideStep => {
+  const retryAfterMs = getRetryAfterMs(state, tier);
+  return newStep(state, sendToEntry(entry, { type: 'handBack', requestId, reason, retryAfterMs }));
 };
 
-const isKnown = (context: SideContext, state: SideState, { requestId }: Reservation): boolean =>
-  state.queue.byRequest.has(requestId) ||
-  state.grants.byRequest.has(requestId) ||
-  context.decisions.isAlreadyCalled(state.called, requestId);
+// A full queue keeps its higher tiers: whatever is chosen, the newcomer included, makes room.
+const makeRoom = (context: SideContext, state: SideState): SideStep => {
+  const victim = context.decisions.chooseShed(state.queue);
+  if (victim === undefined) {
+    return newStep(state);
+  }
+  const { tier } = victim.work;
+  const retryAfterMs = getRetryAfterMs(state, tier);
+  const left = handBack(state, victim, { reason: 'queueFull', retryAfterMs });
+  return andThen(left, (next) => closeBelow(context, next, tier));
+};
 
 /** Puts a reservation in the queue or hands it back at once; a repeated one changes nothing. */
 export const takeReservation = (
@@ -71,14 +50,18 @@
   if (isKnown(context, state, reservation)) {
     return newStep(state);
   }
-  const reason = findRefusal(context, state, reservation);
-  if (reason !== undefined) {
-    const { requestId } = reservation;
-    const retryAfterMs = RETRY_AFTER_REFUSAL_MS;
-    return newStep(
-      state,
-      sendToEntry(entry, { type: 'handBack', requestId, reason, retryAfterMs }),
-    );
+  const refusal = findRefusal(context, state, reservation);
+  if (refusal !== undefined) {
+    return refuse(state, entry, reservation, refusal);
+  }
+  const waiting = newWaiting(context, state, entry, reservation);
+  const raisedMs = waiting.deadlineMs - waiting.latestStartMs;
+  const { deadlineLeftMs } = reservation;
+  if (!context.decisions.predictsInTime({ raisedMs, deadlineLeftMs })) {
+    return refuse(state, entry, reservation, 'deadlineUnreachable');
   }
-  return newStep(putInQueue(state, newWaiting(context, entry, reservation)));
+  const queued = putInQueue(state, waiting);
+  return queued.queue.byRequest.size <= context.settings.maximumWaiting
+    ? newStep(queued)
+    : makeRoom(context, queued);
 };
--- a/packages/side/src/queue/tierQueue.ts
+++ b/packages/side/src/queue/tierQueue.ts
@@ -14,4 +14,6 @@
   readonly long: Lane;
   readonly requests: number;
   readonly tokens: number;
+  /** Milliseconds of the target's time that all of it takes, as estimated on arrival. */
+  readonly workMs: number;
 }
--- a/packages/side/src/queue/waitingReservation.ts
+++ b/packages/side/src/queue/waitingReservation.ts
@@ -9,10 +9,12 @@
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
   readonly firstTokenByMs: number | undefined;
-  /** Time by which it would have to start to end in time, as estimated on arrival. */
+  /** Time by which it would have to start on an idle target to end in time, as estimated on arrival. */
   readonly latestStartMs: number;
   /** Tokens of the target's work that it stands for, as estimated on arrival. */
   readonly tokens: number;
+  /** Milliseconds of the target's time that it takes, as estimated on arrival. */
+  readonly workMs: number;
   /** Grants issued for it that expired unused. */
   readonly expiredGrants: number;
 }
--- a/packages/side/src/runs/answerFate.ts
+++ b/packages/side/src/runs/answerFate.ts
@@ -25,7 +25,12 @@
 
 const takeUpRun = (state: SideState, run: Run, question: FateQuestion): SideStep => {
   const { entry, grantId, requestId, fromByte } = question;
-  const relayed = { ...run, entry, relayConnection: state.peers.get(entry)?.connection };
+  const peer = state.peers.get(entry);
+  const relayed = {
+    ...run,
+    entryIncarnation: peer?.incarnation,
+    relayConnection: peer?.connection,
+  };
   const next = { ...state, runs: setRun(state.runs, relayed) };
   if (run.phase === 'resuming') {
     return newStep(next);
@@ -51,11 +56,15 @@
     requestId,
     work: UNKNOWN_WORK,
     entry,
+    entryIncarnation: state.peers.get(entry)?.incarnation,
     relayConnection: state.peers.get(entry)?.connection,
+    isStreaming: false,
     phase: 'resuming',
     startedAtMs: context.nowMs,
     deadlineMs: context.nowMs + context.settings.answerRetentionMs,
     prefillTokensAhead: 0,
+    predictedFirstTokenMs: 0,
+    predictedFinishMs: 0,
     keptFrom: fromByte,
   });
   return newStep(
--- a/packages/side/src/runs/newRun.ts
+++ b/packages/side/src/runs/newRun.ts
@@ -3,18 +3,17 @@
 
 /** A run that has just been called on the target. */
 export const newRun = (
-  start: Pick<
+  start: Omit<
     Run,
-    | 'grantId'
-    | 'requestId'
-    | 'work'
-    | 'entry'
-    | 'relayConnection'
-    | 'phase'
-    | 'startedAtMs'
-    | 'deadlineMs'
-    | 'prefillTokensAhead'
-    | 'keptFrom'
+    | 'head'
+    | 'chunks'
+    | 'nextOffset'
+    | 'tokens'
+    | 'isPrefilled'
+    | 'lastTokenAtMs'
+    | 'endedAtMs'
+    | 'usage'
+    | 'failure'
   >,
 ): Run => ({
   ...start,
@@ -22,7 +21,7 @@
   chunks: List(),
   nextOffset: start.keptFrom,
   tokens: 0,
-  firstTokenAtMs: undefined,
+  isPrefilled: false,
   lastTokenAtMs: undefined,
   endedAtMs: undefined,
   usage: undefined,
--- a/packages/side/src/runs/run.ts
+++ b/packages/side/src/runs/run.ts
@@ -1,5 +1,5 @@
 import type { List } from 'immutable';
-import type { EntryId, GrantId, RequestId } from '@parsleyhall/common';
+import type { EntryId, GrantId, Incarnation, RequestId } from '@parsleyhall/common';
 import type { Work } from '../queue/work.js';
 import type { AnswerChunk } from './answerChunk.js';
 
@@ -9,14 +9,19 @@
   readonly requestId: RequestId;
   readonly work: Work;
   readonly entry: EntryId;
+  readonly entryIncarnation: Incarnation | undefined;
   /** Connection of the entry that the answer is relayed on; undefined while it is only kept. */
   readonly relayConnection: number | undefined;
+  readonly isStreaming: boolean;
   /** Resuming until the target has said that it knows the request. */
   readonly phase: 'resuming' | 'running' | 'done' | 'failed';
   readonly startedAtMs: number;
   readonly deadlineMs: number;
   /** Prefill tokens of others whose first token was outstanding at the start. */
   readonly prefillTokensAhead: number;
+  /** Predicted durations at the start, in milliseconds. */
+  readonly predictedFirstTokenMs: number;
+  readonly predictedFinishMs: number;
   readonly head:
     { readonly status: number; readonly headers: Readonly<Record<string, string>> } | undefined;
   readonly chunks: List<AnswerChunk>;
@@ -25,7 +30,8 @@
   /** Place after the last byte that came. */
   readonly nextOffset: number;
   readonly tokens: number;
-  readonly firstTokenAtMs: number | undefined;
+  /** True once the prefill is no longer ahead of other work, seen or assumed. */
+  readonly isPrefilled: boolean;
   readonly lastTokenAtMs: number | undefined;
   readonly endedAtMs: number | undefined;
   readonly usage: { readonly prefillTokens: number; readonly decodeTokens: number } | undefined;
--- a/packages/side/src/runs/shouldCancel.ts
+++ b/packages/side/src/runs/shouldCancel.ts
@@ -1,12 +1,12 @@
 import type { Run } from './run.js';
 import { isRunActive } from './isRunActive.js';
 
-/** Whether to cancel a run whose caller hung up: when more is left to do than has been done. */
+const NEARLY_DONE_TOKENS = 8;
+
+/** Whether to cancel a run whose caller hung up: it may be repeated and enough is left to do. */
 export const shouldCancel = (run: Run): boolean => {
   if (run.work.isNonIdempotent || !isRunActive(run)) {
     return false;
   }
-  const spent = run.firstTokenAtMs === undefined ? 0 : run.work.prefillTokens;
-  const left = Math.max(0, run.work.decodeTokens - run.tokens);
-  return run.firstTokenAtMs === undefined || left > 0 || spent === 0;
+  return !run.isPrefilled || run.work.decodeTokens - run.tokens > NEARLY_DONE_TOKENS;
 };
--- a/packages/side/src/runs/takeBytes.ts
+++ b/packages/side/src/runs/takeBytes.ts
@@ -4,27 +4,28 @@
 import type { Run } from './run.js';
 import type { TargetEvent } from './targetEvent.js';
 import { newStep } from '../step/newStep.js';
-import { passPrefill } from '../window/passPrefill.js';
+import { confirmResumed } from './confirmResumed.js';
 import { isRunActive } from './isRunActive.js';
+import { learnTokens } from './learnTokens.js';
 import { relay } from './relay.js';
 import { setRun } from './setRun.js';
 
 const appendBytes = (run: Run, event: TargetEvent<'targetBytes'>): Run => {
-  const hasTokens = event.tokens > 0;
+  const isToken = event.tokens > 0 && run.isStreaming;
   return {
     ...run,
     phase: 'running',
     chunks: run.chunks.push({ offset: run.nextOffset, bytes: event.bytes }),
     nextOffset: run.nextOffset + event.bytes.length,
     tokens: run.tokens + event.tokens,
-    firstTokenAtMs: run.firstTokenAtMs ?? (hasTokens ? event.nowMs : undefined),
-    lastTokenAtMs: hasTokens ? event.nowMs : run.lastTokenAtMs,
+    isPrefilled: run.isPrefilled || isToken,
+    lastTokenAtMs: isToken ? event.nowMs : run.lastTokenAtMs,
   };
 };
 
-/** Keeps and relays bytes of an answer, and notes when tokens came. */
+/** Keeps and relays bytes of an answer, and learns from the time of its tokens. */
 export const takeBytes = (
-  _context: SideContext,
+  context: SideContext,
   state: SideState,
   event: TargetEvent<'targetBytes'>,
 ): SideStep => {
@@ -32,15 +33,17 @@
   if (run === undefined || !isRunActive(run)) {
     return newStep(state);
   }
-  const longer = appendBytes(run, event);
-  const isFirstToken = run.firstTokenAtMs === undefined && longer.firstTokenAtMs !== undefined;
+  const isToken = event.tokens > 0 && run.isStreaming;
+  const learned = isToken ? learnTokens(context, state, run, event.tokens) : state;
   const { grantId, requestId, nextOffset: offset } = run;
   return newStep(
-    {
-      ...state,
-      runs: setRun(state.runs, longer),
-      occupancy: isFirstToken ? passPrefill(state.occupancy, run.work) : state.occupancy,
-    },
-    ...relay(state, run, { type: 'answerBytes', grantId, requestId, offset, bytes: event.bytes }),
+    { ...learned, runs: setRun(state.runs, appendBytes(run, event)) },
+    ...relay(state, run, ...confirmResumed(run), {
+      type: 'answerBytes',
+      grantId,
+      requestId,
+      offset,
+      bytes: event.bytes,
+    }),
   );
 };
--- a/packages/side/src/runs/takeEnd.ts
+++ b/packages/side/src/runs/takeEnd.ts
@@ -4,7 +4,10 @@
 import type { Run } from './run.js';
 import type { TargetEvent } from './targetEvent.js';
 import { newStep } from '../step/newStep.js';
+import { confirmResumed } from './confirmResumed.js';
 import { isRunActive } from './isRunActive.js';
+import { learnEnd } from './learnEnd.js';
+import { observeEnd } from './observeEnd.js';
 import { relay } from './relay.js';
 import { setRun } from './setRun.js';
 import { vacateRun } from './vacateRun.js';
@@ -22,9 +25,16 @@
   const { grantId, requestId, nextOffset: totalBytes } = run;
   const usage = { prefillTokens: event.prefillTokens, decodeTokens: event.decodeTokens };
   const ended: Run = { ...run, phase: 'done', endedAtMs: context.nowMs, usage };
-  const vacated = vacateRun(state, run);
+  const learned = vacateRun(learnEnd(context, state, run, event.decodeTokens), run);
   return newStep(
-    { ...vacated, runs: setRun(vacated.runs, ended) },
-    ...relay(state, run, { type: 'answerEnd', grantId, requestId, totalBytes, ...usage }),
+    { ...learned, runs: setRun(learned.runs, ended) },
+    ...relay(state, run, ...confirmResumed(run), {
+      type: 'answerEnd',
+      grantId,
+      requestId,
+      totalBytes,
+      ...usage,
+    }),
+    observeEnd(context, learned, run),
   );
 };
--- a/packages/side/src/runs/useGrant.ts
+++ b/packages/side/src/runs/useGrant.ts
@@ -5,6 +5,7 @@
 import type { SideContext } from '../step/sideContext.js';
 import type { SideStep } from '../step/sideStep.js';
 import { getGrantCounter } from '../grants/getGrantCounter.js';
+import { predictUnderLoad } from '../estimates/predictUnderLoad.js';
 import { settleGrant } from '../grants/settleGrant.js';
 import { updatePeer } from '../peers/updatePeer.js';
 import { newStep } from '../step/newStep.js';
@@ -20,16 +21,22 @@
 const startRun = (context: SideContext, state: SideState, grant: Grant, give: Give): SideState => {
   const { entry, work } = grant.waiting;
   const { grantId, requestId } = give;
+  const peer = state.peers.get(entry);
+  const prediction = predictUnderLoad(context, state, work);
   const run = newRun({
     grantId,
     requestId,
     work,
     entry,
-    relayConnection: state.peers.get(entry)?.connection,
+    entryIncarnation: peer?.incarnation,
+    relayConnection: peer?.connection,
+    isStreaming: give.call.isStreaming,
     phase: 'running',
     startedAtMs: context.nowMs,
     deadlineMs: context.nowMs + give.deadlineLeftMs,
     prefillTokensAhead: state.occupancy.prefillTokensAhead - work.prefillTokens,
+    predictedFirstTokenMs: prediction.firstTokenMs,
+    predictedFinishMs: prediction.finishMs,
     keptFrom: 0,
   });
   const { lastCounter } = state.grants;
--- a/packages/side/src/runs/vacateRun.ts
+++ b/packages/side/src/runs/vacateRun.ts
@@ -5,7 +5,6 @@
 
 /** The state with the room of an active run given back; the run itself is not changed. */
 export const vacateRun = (state: SideState, run: Run): SideState => {
-  const occupancy =
-    run.firstTokenAtMs === undefined ? passPrefill(state.occupancy, run.work) : state.occupancy;
+  const occupancy = run.isPrefilled ? state.occupancy : passPrefill(state.occupancy, run.work);
   return { ...state, occupancy: vacate(occupancy, run.work) };
 };
--- a/packages/side/src/sideEvent.ts
+++ b/packages/side/src/sideEvent.ts
@@ -48,6 +48,8 @@
   | { readonly type: 'configurationFolded'; readonly configuration: ConfigurationState }
   /** The platform's list says that this host is leaving. */
   | { readonly type: 'hostLeaving' }
+  /** The platform's list no longer says so. */
+  | { readonly type: 'hostReturned' }
   /** A planned stop was asked for. */
   | { readonly type: 'stopRequested' }
   | { readonly type: 'tick' }
--- a/packages/side/src/window/hasRoom.ts
+++ b/packages/side/src/window/hasRoom.ts
@@ -2,6 +2,8 @@
 import type { Occupancy } from './occupancy.js';
 import type { WindowState } from './windowState.js';
 
+const LOWER_TIERS_PREFILL_SHARE = 0.5;
+
 /** What decides whether a request of a tier may be granted room. */
 interface RoomRequest {
   readonly tier: Tier;
@@ -9,20 +11,33 @@
   readonly window: WindowState;
   /** Share of the window kept free for tier one, from 0 to 1. */
   readonly reservedShare: number;
+  /** Time that the prefill ahead will take, in milliseconds. */
+  readonly prefillAheadMs: number;
+  /** Bound of tier one's first token in the preset in force, in milliseconds; absent without one. */
+  readonly firstTokenBoundMs: number | undefined;
 }
 
-/** Whether the window has room for one more request of the tier. */
-export const hasRoom = ({ tier, occupancy, window, reservedShare }: RoomRequest): boolean => {
-  const requests = Math.max(1, Math.floor(window.requests));
-  if (occupancy.requests >= requests) {
+const isPrefillFull = ({ tier, prefillAheadMs, firstTokenBoundMs }: RoomRequest): boolean => {
+  if (prefillAheadMs === 0 || firstTokenBoundMs === undefined) {
     return false;
   }
-  if (occupancy.requests > 0 && occupancy.tokens >= window.tokens) {
+  const share = tier === 1 ? 1 : LOWER_TIERS_PREFILL_SHARE;
+  return prefillAheadMs > firstTokenBoundMs * share;
+};
+
+/** Whether the window has room for one more request of the tier; a stalled target has room for none. */
+export const hasRoom = (request: RoomRequest): boolean => {
+  const { tier, occupancy, window, reservedShare } = request;
+  const requests = Math.max(1, Math.floor(window.requests));
+  const isStalled = window.stalledSinceMs !== undefined && occupancy.requests > 0;
+  if (isStalled || occupancy.requests >= requests) {
     return false;
   }
-  if (tier === 1) {
-    return true;
+  const isTokenFull = occupancy.requests > 0 && occupancy.tokens >= window.tokens;
+  if (isTokenFull || isPrefillFull(request)) {
+    return false;
   }
   const lowerTiers = occupancy.requests - occupancy.byTier[0];
-  return lowerTiers < Math.max(1, requests - Math.round(requests * reservedShare));
+  const reserved = Math.round(requests * reservedShare);
+  return tier === 1 || lowerTiers < Math.max(1, requests - reserved);
 };
