Say in the schemas what each setting means

Cause: the settings reference listed the daemons' settings without their meaning. Ruled out: a table of meanings beside the schemas, which would stand twice.

--- a/packages/daemon/src/settings/settingsFields.ts
+++ b/packages/daemon/src/settings/settingsFields.ts
@@ -19,10 +19,15 @@
 const peer = z.union([z.ipv4(), z.cidrv4(), z.ipv6(), z.cidrv6()], 'an IP address or IP range');
 const address = z
   .string()
-  .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$/, 'an IP address and a port');
+  .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$/, 'an IP address and a port')
+  .describe('IP number and port');
 const listener = z.strictObject({
-  address: z.union([z.ipv4(), z.ipv6()], 'an IP address'),
-  port: z.int().min(0).max(HIGHEST_PORT),
+  address: z.union([z.ipv4(), z.ipv6()], 'an IP address').describe('IP number to listen on'),
+  port: z
+    .int()
+    .min(0)
+    .max(HIGHEST_PORT)
+    .describe('Port; 0 takes a free one, told by the log line listening'),
 });
 const milliseconds = z.int().min(1);
 const count = z.int().min(1);
@@ -35,22 +40,43 @@
   count,
   shared: {
     /** Name of this process; stays the same after a restart. */
-    process: name,
-    host: name.transform((value) => value as HostName),
-    dataCentre: name,
-    listen: listener,
-    operatorListen: listener,
-    log: z.strictObject({ address }),
-    hostList: z.strictObject({ address }),
-    logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info'),
-    allowedPeers: z.array(peer).default([LOOPBACK]),
-    allowedOperators: z.array(peer).default([LOOPBACK]),
-    heartbeatMs: milliseconds.default(DEFAULT_HEARTBEAT_MS),
-    peerTimeoutMs: milliseconds.default(DEFAULT_PEER_TIMEOUT_MS),
-    tickMs: milliseconds.default(DEFAULT_TICK_MS),
-    hostListPollMs: milliseconds.default(DEFAULT_HOST_LIST_POLL_MS),
-    logRetentionMs: milliseconds.default(DEFAULT_LOG_RETENTION_MS),
-    longPrefillTokens: count.default(DEFAULT_LONG_PREFILL_TOKENS),
-    maximumBodyBytes: count.default(DEFAULT_MAXIMUM_BODY_BYTES),
+    process: name.describe('Name of the process; the same after a restart'),
+    host: name.transform((value) => value as HostName).describe('Name of the host'),
+    dataCentre: name.describe('Data centre of the host'),
+    listen: listener.describe('Where callers (entry) or entries (side process) connect'),
+    operatorListen: listener.describe('Where operators connect for /status and /metrics'),
+    log: z.strictObject({ address }).describe("The platform's log service"),
+    hostList: z.strictObject({ address }).describe("The platform's list of hosts"),
+    logLevel: z
+      .enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal'])
+      .default('info')
+      .describe('Lowest level of log lines that are written'),
+    allowedPeers: z
+      .array(peer)
+      .default([LOOPBACK])
+      .describe('IP addresses and ranges that may connect to a side process'),
+    allowedOperators: z
+      .array(peer)
+      .default([LOOPBACK])
+      .describe("IP addresses and ranges that may connect to the operators' listener"),
+    heartbeatMs: milliseconds
+      .default(DEFAULT_HEARTBEAT_MS)
+      .describe('Time between heartbeats to a peer'),
+    peerTimeoutMs: milliseconds
+      .default(DEFAULT_PEER_TIMEOUT_MS)
+      .describe('Silence after which the stream to a peer counts as broken'),
+    tickMs: milliseconds.default(DEFAULT_TICK_MS).describe('Time between ticks of the reducer'),
+    hostListPollMs: milliseconds
+      .default(DEFAULT_HOST_LIST_POLL_MS)
+      .describe('Time between two readings of the list of hosts'),
+    logRetentionMs: milliseconds
+      .default(DEFAULT_LOG_RETENTION_MS)
+      .describe('Time that the log keeps records; not above what it really keeps'),
+    longPrefillTokens: count
+      .default(DEFAULT_LONG_PREFILL_TOKENS)
+      .describe('Prompt tokens from which on a prefill is long'),
+    maximumBodyBytes: count
+      .default(DEFAULT_MAXIMUM_BODY_BYTES)
+      .describe('Largest body of a request'),
   },
 } as const;
--- a/packages/daemon/src/settings/sideSettingsFileSchema.ts
+++ b/packages/daemon/src/settings/sideSettingsFileSchema.ts
@@ -7,17 +7,31 @@
 /** Settings file of a side process. */
 export const sideSettingsFileSchema = z.strictObject({
   ...shared,
-  target: z.strictObject({
-    address,
-    kind: z.enum(['engine', 'service']),
-    pool: name.transform((value) => value as PoolName),
-    models: z.array(z.string().min(1)).default([]),
-  }),
-  initialWindowRequests: count.default(8),
-  maximumWindowRequests: count.default(64),
-  grantLeaseMs: milliseconds.default(1_000),
-  answerRetentionMs: milliseconds.default(60_000),
-  maximumWaiting: count.default(20_000),
-  loadPollMs: milliseconds.default(250),
-  cacheEventPollMs: milliseconds.default(500),
+  target: z
+    .strictObject({
+      address: address.describe('IP number and port of the target'),
+      kind: z.enum(['engine', 'service']).describe('Model engine or plain service'),
+      pool: name
+        .transform((value) => value as PoolName)
+        .describe('Pool of the configuration that the target belongs to'),
+      models: z.array(z.string().min(1)).default([]).describe('Models that the engine answers to'),
+    })
+    .describe('The one target of this side process'),
+  initialWindowRequests: count
+    .default(8)
+    .describe('Requests that the target may run at once before anything is learned'),
+  maximumWindowRequests: count
+    .default(64)
+    .describe('Requests that the target may run at once, at most'),
+  grantLeaseMs: milliseconds.default(1_000).describe('Time within which a grant must be used'),
+  answerRetentionMs: milliseconds
+    .default(60_000)
+    .describe('Time that the answer of an unacknowledged run is kept'),
+  maximumWaiting: count.default(20_000).describe('Reservations that may wait at once'),
+  loadPollMs: milliseconds
+    .default(250)
+    .describe("Time between two readings of the engine's load report"),
+  cacheEventPollMs: milliseconds
+    .default(500)
+    .describe("Time between two readings of the engine's cache events"),
 });
