--- a/packages/daemon/src/callers/createCallersServer.ts
+++ b/packages/daemon/src/callers/createCallersServer.ts
@@ -7,6 +7,7 @@
 import { createCallerHandler } from './createCallerHandler.js';
 import { getInvalidProblem } from './problems/getInvalidProblem.js';
 import { newInvalidRequest } from './problems/newInvalidRequest.js';
+import { newProblemResponse } from './problems/newProblemResponse.js';
 import { sendProblem } from './problems/sendProblem.js';
 
 const CHECKS_PER_TIMEOUT = 4;
@@ -61,7 +62,10 @@
   };
   const handleModel = toEventHandler(createCallerHandler(options, 'model'));
   const handleService = toEventHandler(createCallerHandler(options, 'service'));
-  return new H3()
+  return new H3({
+    silent: true,
+    onError: ({ status, message }) => newProblemResponse(status, message),
+  })
     .get('/healthz', toEventHandler(handleHealth))
     .get('/readyz', toEventHandler(handleReadiness))
     .get('/metrics', toEventHandler(handleMetrics))
