Prove kills, pauses, cuts and planned stops on real processes

Change: tests under load of a killed side process with its successor, a killed entry with a binding under way, a side process paused past its lease, a link cut by a relay, and a planned stop of an entry and a side process. A side process fallen silent is logged and counted as peerSilent.

--- a/packages/daemon/src/entryShell/runEntryEffect.ts
+++ b/packages/daemon/src/entryShell/runEntryEffect.ts
@@ -26,6 +26,7 @@
       parts.links.close(effect.side);
       return;
     case 'reconnectSide':
+      observe(parts, 'peerSilent', { side: effect.side });
       parts.links.reconnect(effect.side);
       return;
     case 'answerHead':
--- /dev/null
+++ b/packages/daemon/tests/failures.test.ts
@@ -0,0 +1,141 @@
+import { v7 as newUuid } from 'uuid';
+import { describe, expect, test } from 'vitest';
+import { startEngineStandIn, startRelay } from '@parsleyhall/stand-ins';
+import { ask } from './support/ask.js';
+import { checkResults } from './support/checkResults.js';
+import { startDaemon } from './support/startDaemon.js';
+import { startLoad } from './support/startLoad.js';
+import { startTestSystem } from './support/startTestSystem.js';
+import { waitForRun } from './support/waitForRun.js';
+import { waitUntilServing } from './support/waitUntilServing.js';
+
+const CALLS = 32;
+
+const newEngineSide = (engine: { readonly address: string }) => ({
+  target: { address: engine.address, kind: 'engine', pool: 'language', models: ['small'] },
+});
+
+describe('under load', () => {
+  test('a side process is killed and its successor takes up the running streams', async () => {
+    await using system = await startTestSystem();
+    const { engine, engineSide, platform, url } = system;
+    const load = startLoad(url, CALLS);
+    await load.begun;
+    engineSide.signal('SIGKILL');
+    await engineSide.exited;
+    await using successor = await startDaemon('side', {
+      ...platform.newSettings('side-engine'),
+      ...newEngineSide(engine),
+    });
+    const address = successor.listeners.peers ?? '';
+    await platform.putHost({ process: 'side-engine', role: 'target', address });
+    const summary = await checkResults(await load.results, [engine]);
+    expect(summary.cut).toBe(0);
+    expect(summary.whole).toBeGreaterThan(0);
+  });
+
+  test('an entry is killed and another serves', async () => {
+    await using system = await startTestSystem();
+    const { engine, entry, platform, service } = system;
+    await using second = await startDaemon('entry', platform.newSettings('entry-2'));
+    await waitUntilServing(second, ['side-engine', 'side-service']);
+    const secondUrl = `http://${second.listeners.callers ?? ''}`;
+
+    await fetch(`http://${service.address}/control`, {
+      method: 'PUT',
+      body: JSON.stringify({ stalled: true }),
+    });
+    const key = newUuid();
+    const bind = (url: string) =>
+      ask({
+        url,
+        path: '/services/portal/domains/1',
+        body: { a: 1 },
+        headers: { 'idempotency-key': key, 'x-deadline-ms': '4000' },
+      }).catch(() => 'cut' as const);
+    const firstBinding = bind(system.url);
+    await waitForRun(service, key);
+    const load = startLoad(system.url, CALLS);
+    const otherLoad = startLoad(secondUrl, CALLS);
+    await load.begun;
+    entry.signal('SIGKILL');
+    expect(await firstBinding).toBe('cut');
+    const repeated = bind(secondUrl);
+    await fetch(`http://${service.address}/control`, {
+      method: 'PUT',
+      body: JSON.stringify({ stalled: false }),
+    });
+    // The run went on after its entry had died, so that nobody may call it not run or run it again.
+    const answer = await repeated;
+    expect(answer).not.toBe('cut');
+    expect(answer).toMatchObject({ status: 502 });
+    const results = [...(await load.results), ...(await otherLoad.results)];
+    const summary = await checkResults(results, [engine]);
+    expect(summary.whole).toBeGreaterThanOrEqual(CALLS);
+    const runs = await fetch(`http://${service.address}/control/runs`);
+    expect(await runs.json()).toMatchObject({ byKey: { [key]: 1 } });
+  });
+
+  test('a side process is paused past its lease and goes on', async () => {
+    await using system = await startTestSystem();
+    const { engine, engineSide, entry, url } = system;
+    const load = startLoad(url, CALLS);
+    await load.begun;
+    engineSide.signal('SIGSTOP');
+    await entry.waitForLine({ event: 'peerSilent' });
+    engineSide.signal('SIGCONT');
+    const summary = await checkResults(await load.results, [engine]);
+    expect(summary.cut).toBe(0);
+    expect(summary.whole).toBeGreaterThan(0);
+  });
+
+  test('a connection between entry and side process is cut and made anew', async () => {
+    await using system = await startTestSystem();
+    const { engine, engineSide, platform, url } = system;
+    await using relay = await startRelay({
+      target: engineSide.listeners.peers ?? '',
+      delayMs: 1,
+    });
+    await using second = await startDaemon('entry', platform.newSettings('entry-2'));
+    await platform.putHost({ process: 'side-engine', role: 'target', address: relay.address });
+    await waitUntilServing(second, ['side-engine']);
+    const load = startLoad(`http://${second.listeners.callers ?? ''}`, CALLS);
+    const otherLoad = startLoad(url, CALLS);
+    await load.begun;
+    relay.cut();
+    relay.heal();
+    const results = [...(await load.results), ...(await otherLoad.results)];
+    const summary = await checkResults(results, [engine]);
+    expect(summary).toMatchObject({ cut: 0, unknown: 0 });
+    expect(summary.whole).toBeGreaterThan(0);
+  });
+
+  test('an entry and a side process are stopped as planned and nothing is cut', async () => {
+    await using system = await startTestSystem();
+    const { engine, engineSide, entry, platform, url } = system;
+    await using secondEngine = await startEngineStandIn({ seed: 2 });
+    await using secondSide = await startDaemon('side', {
+      ...platform.newSettings('side-engine-2'),
+      ...newEngineSide(secondEngine),
+    });
+    const address = secondSide.listeners.peers ?? '';
+    await platform.putHost({ process: 'side-engine-2', role: 'target', address });
+    await using second = await startDaemon('entry', platform.newSettings('entry-2'));
+    const all = ['side-engine', 'side-engine-2'];
+    await waitUntilServing(second, all);
+    await waitUntilServing(entry, all);
+    const secondUrl = `http://${second.listeners.callers ?? ''}`;
+    const load = startLoad(url, CALLS);
+    const otherLoad = startLoad(secondUrl, CALLS);
+    await load.begun;
+    entry.signal('SIGTERM');
+    engineSide.signal('SIGTERM');
+    const results = [...(await load.results), ...(await otherLoad.results)];
+    const summary = await checkResults(results, [engine, secondEngine]);
+    expect(summary).toEqual({ whole: 2 * CALLS, notRun: 0, unknown: 0, cut: 0 });
+    expect(await entry.exited).toBe(0);
+    expect(await engineSide.exited).toBe(0);
+    const later = await startLoad(secondUrl, 4).results;
+    expect(await checkResults(later, [engine, secondEngine])).toMatchObject({ whole: 4 });
+  });
+});
