--- a/packages/bench/src/cluster/startProcess.ts
+++ b/packages/bench/src/cluster/startProcess.ts
@@ -24,7 +24,7 @@
 
 /** Starts a Node.js process and resolves once it says that it listens. */
 export const startProcess = async (plan: ProcessPlan): Promise<RunningProcess> => {
-  const child = spawn(process.execPath, [plan.script, ...plan.arguments], {
+  const child = spawn(process.execPath, [...process.execArgv, plan.script, ...plan.arguments], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   const log = createWriteStream(plan.logFile, { flags: 'a' });
--- a/packages/bench/src/demo/demoDeployments.ts
+++ b/packages/bench/src/demo/demoDeployments.ts
@@ -1,4 +1,5 @@
 import type { Deployment } from '../workload/deployment.js';
+import type { KindOfWork } from '../workload/kindOfWork.js';
 import { BUREAU } from '../workload/bureau.js';
 import { NILEGATE } from '../workload/nilegate.js';
 
@@ -10,11 +11,17 @@
   services: 1,
 } as const;
 
-const withoutHangUps = (deployment: Deployment): Deployment => ({
+const streamUrgentWork = (kind: KindOfWork): KindOfWork => ({
+  ...kind,
+  hangUpShare: 0,
+  work: kind.work.type === 'engine' ? { ...kind.work, isStreaming: kind.tier <= 2 } : kind.work,
+});
+
+const toDemo = (deployment: Deployment): Deployment => ({
   ...deployment,
   ...SHARED,
-  kinds: deployment.kinds.map((kind) => ({ ...kind, hangUpShare: 0 })),
+  kinds: deployment.kinds.map(streamUrgentWork),
 });
 
 /** Both deployments' kinds of work on one small set of targets. */
-export const DEMO_DEPLOYMENTS: readonly Deployment[] = [NILEGATE, BUREAU].map(withoutHangUps);
+export const DEMO_DEPLOYMENTS: readonly Deployment[] = [NILEGATE, BUREAU].map(toDemo);
--- a/packages/bench/src/measure/measureOptions.ts
+++ b/packages/bench/src/measure/measureOptions.ts
@@ -14,6 +14,9 @@
   readonly durationMs: number;
   /** Engine milliseconds in a wall millisecond. */
   readonly timeScale: number;
+  /** Settings of entries and side processes that differ from their defaults. */
+  readonly entrySettings: Readonly<Record<string, unknown>>;
+  readonly sideSettings: Readonly<Record<string, unknown>>;
   /** File to write the figures to, if any. */
   readonly jsonFile: string | undefined;
 }
--- a/packages/bench/src/measure/parseOptions.ts
+++ b/packages/bench/src/measure/parseOptions.ts
@@ -10,6 +10,11 @@
 
 const policy = z.enum(POLICY_NAMES);
 
+const settings = z.preprocess(
+  (text) => JSON.parse(String(text)) as unknown,
+  z.record(z.string(), z.unknown()),
+);
+
 const optionsSchema = z.object({
   deployment: z.enum(['nilegate', 'bureau']),
   load: z.coerce.number().positive().max(4),
@@ -19,6 +24,8 @@
   seed: z.coerce.number().int().min(0),
   seconds: z.coerce.number().positive().max(600),
   scale: z.coerce.number().positive().max(4),
+  entry: settings,
+  side: settings,
   json: z.string(),
 });
 
@@ -34,6 +41,8 @@
     seed: options.seed,
     durationMs: options.seconds * MS_PER_SECOND,
     timeScale: options.scale,
+    entrySettings: options.entry,
+    sideSettings: options.side,
     jsonFile: options.json === '' ? undefined : options.json,
   };
 };
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,6 @@
 export type { SettingsFault } from './settings/settingsFault.js';
 export type { SideSettingsFile } from './settings/sideSettingsFile.js';
 export { sideSettingsFileSchema } from './settings/sideSettingsFileSchema.js';
+export { startEntry } from './entryShell/startEntry.js';
+export { startFromFile } from './startFromFile.js';
+export { startSide } from './sideShell/startSide.js';
