Say when the machine was too busy for a measurement

Cause: with the machine shared, engine steps end late and the product learns from delays that are not the engines'; such figures say nothing. Change: engines count by how much steps end late; the measure tool prints it and marks a run in which the mean is over 3 engine ms.

--- a/packages/bench/src/measure/measure.ts
+++ b/packages/bench/src/measure/measure.ts
@@ -1,4 +1,5 @@
 import { writeFile } from 'node:fs/promises';
+import { loadavg } from 'node:os';
 import { drawSchedule } from '../workload/drawSchedule.js';
 import { checkBounds } from './checkBounds.js';
 import { FAULT_TIMES } from './faultTimes.js';
@@ -8,6 +9,13 @@
 import { measurePolicy } from './measurePolicy.js';
 import type { PolicyResult } from './policyResult.js';
 
+const MAXIMUM_STEP_LATE_MS = 3;
+
+const getLoadAverage = (): string =>
+  loadavg()
+    .map((load) => load.toFixed(1))
+    .join(' ');
+
 const print = (text: string): void => {
   process.stdout.write(`${text}\n`);
 };
@@ -28,6 +36,11 @@
     results.push(await measurePolicy(options, policy, calls));
   }
   print(formatResults(results));
+  if (results.some(({ report }) => report.meanStepLateMs > MAXIMUM_STEP_LATE_MS)) {
+    print(
+      `the machine was too busy for this load (load average ${getLoadAverage()}): do not use these figures`,
+    );
+  }
   const [first, ...others] = results;
   const bounds = first === undefined ? [] : checkBounds(first, others, fault);
   for (const { name, limit, measured, isMet } of bounds) {
--- a/packages/bench/src/report/newRunReport.ts
+++ b/packages/bench/src/report/newRunReport.ts
@@ -25,5 +25,8 @@
     wastedShareWithPrefixes: (thrownAway + again) / Math.max(1, prefillTokens),
     dispatches: sum([...runs.values()].map((run) => run.runs)),
     idleShare: record.idleShare,
+    meanStepLateMs:
+      (sum(record.engines.map(({ lateWallMs }) => lateWallMs)) * record.timeScale) /
+      Math.max(1, sum(record.engines.map(({ steps }) => steps))),
   };
 };
--- a/packages/bench/src/report/runReport.ts
+++ b/packages/bench/src/report/runReport.ts
@@ -12,4 +12,6 @@
   readonly dispatches: number;
   /** Mean share of the engines' time without a step while calls arrived, from 0 to 1. */
   readonly idleShare: number;
+  /** Mean engine milliseconds by which engine steps ended late: the machine's doing, not the product's. */
+  readonly meanStepLateMs: number;
 }
--- a/packages/standIns/src/engine/engineBatch.ts
+++ b/packages/standIns/src/engine/engineBatch.ts
@@ -156,7 +156,7 @@
   }
 
   private finishStep({ prefills, decodes, durationMs }: StepPlan): void {
-    this.counters.countStep(durationMs);
+    this.counters.countStep(durationMs, performance.now() - this.dueMs);
     for (const request of decodes) {
       this.addToken(request);
     }
--- a/packages/standIns/src/engine/engineCounters.ts
+++ b/packages/standIns/src/engine/engineCounters.ts
@@ -23,6 +23,7 @@
   private decodeTokens = 0;
   private steps = 0;
   private busyMs = 0;
+  private lateWallMs = 0;
 
   constructor(private readonly timeScale: number) {}
 
@@ -61,8 +62,9 @@
     }
   }
 
-  /** Notes one step and its length in engine milliseconds. */
-  countStep(durationMs: number): void {
+  /** Notes one step, its length in engine milliseconds and by how many wall milliseconds it ended late. */
+  countStep(durationMs: number, lateWallMs: number): void {
+    this.lateWallMs += Math.max(0, lateWallMs);
     this.steps += 1;
     this.busyMs += durationMs;
   }
@@ -78,6 +80,7 @@
       prefillTokensCancelled: this.prefillTokensCancelled,
       decodeTokens: this.decodeTokens,
       steps: this.steps,
+      lateWallMs: this.lateWallMs,
       busyMs: this.busyMs,
       elapsedMs,
       idleShare: Math.max(0, 1 - this.busyMs / elapsedMs),
--- a/packages/standIns/src/engine/engineStats.ts
+++ b/packages/standIns/src/engine/engineStats.ts
@@ -18,6 +18,8 @@
   readonly prefillTokensCancelled: number;
   readonly decodeTokens: number;
   readonly steps: number;
+  /** Wall milliseconds by which steps ended after their time, summed; large when the machine is busy. */
+  readonly lateWallMs: number;
   readonly busyMs: number;
   readonly elapsedMs: number;
   readonly idleShare: number;
