Hand back long queues in a loop

Cause: a side process gave up its waiting reservations by recursion, one call deep a reservation; a drain, a passed deadline or shedding with many thousands waiting ended it with a full call stack. Ruled out: a bound on each pass, which would leave lower tiers waiting after a higher one was shed.

--- a/packages/side/src/grants/expireGrants.ts
+++ b/packages/side/src/grants/expireGrants.ts
@@ -4,8 +4,8 @@
 import type { Grant } from './grant.js';
 import { handBack } from '../queue/handBack.js';
 import { putInQueue } from '../queue/putInQueue.js';
-import { andThen } from '../step/andThen.js';
 import { newStep } from '../step/newStep.js';
+import { repeatStep } from '../step/repeatStep.js';
 import { burnGrant } from './burnGrant.js';
 import { forgetSettledGrants } from './forgetSettledGrants.js';
 
@@ -22,12 +22,17 @@
   return handBack(queued, waiting, { reason: 'targetDown', retryAfterMs });
 };
 
-/** Burns the grants whose lease is over; their reservations wait again. */
-export const expireGrants = (context: SideContext, state: SideState): SideStep => {
+const expireFirst = (context: SideContext, state: SideState): SideStep | undefined => {
   const first = state.grants.byExpiry.first();
   const grant = first && state.grants.byId.get(first.id);
-  if (grant === undefined || context.decisions.isGrantLeaseHeld(grant, context.nowMs)) {
-    return newStep({ ...state, grants: forgetSettledGrants(state.grants, context.nowMs) });
-  }
-  return andThen(returnToQueue(context, state, grant), (next) => expireGrants(context, next));
+  return grant === undefined || context.decisions.isGrantLeaseHeld(grant, context.nowMs)
+    ? undefined
+    : returnToQueue(context, state, grant);
+};
+
+/** Burns the grants whose lease is over; their reservations wait again. */
+export const expireGrants = (context: SideContext, state: SideState): SideStep => {
+  const expired = repeatStep(state, (next) => expireFirst(context, next));
+  const grants = forgetSettledGrants(expired.state.grants, context.nowMs);
+  return { state: { ...expired.state, grants }, effects: expired.effects };
 };
--- a/packages/side/src/grants/forgetSettledGrants.ts
+++ b/packages/side/src/grants/forgetSettledGrants.ts
@@ -2,14 +2,13 @@
 
 /** The grants without the used and burnt ones whose time to be remembered is over. */
 export const forgetSettledGrants = (grants: GrantsState, nowMs: number): GrantsState => {
-  const first = grants.settled.first();
-  if (first === undefined || first.rank > nowMs) {
-    return grants;
+  let { byId, settled } = grants;
+  for (let first = settled.first(); first !== undefined; first = settled.first()) {
+    if (first.rank > nowMs) {
+      break;
+    }
+    byId = byId.remove(first.id);
+    settled = settled.without(first.rank, first.id);
   }
-  const remaining = {
-    ...grants,
-    byId: grants.byId.remove(first.id),
-    settled: grants.settled.without(first.rank, first.id),
-  };
-  return forgetSettledGrants(remaining, nowMs);
+  return settled === grants.settled ? grants : { ...grants, byId, settled };
 };
--- a/packages/side/src/grants/issueGrants.ts
+++ b/packages/side/src/grants/issueGrants.ts
@@ -7,8 +7,7 @@
 import { predictUnderLoad } from '../estimates/predictUnderLoad.js';
 import { handBack } from '../queue/handBack.js';
 import { getRetryAfterMs } from '../shedding/getRetryAfterMs.js';
-import { andThen } from '../step/andThen.js';
-import { newStep } from '../step/newStep.js';
+import { repeatStep } from '../step/repeatStep.js';
 import { issueGrant } from './issueGrant.js';
 
 const getPrefillAheadMs = ({ estimates, occupancy, runs }: SideState): number =>
@@ -55,14 +54,8 @@
 };
 
 /** Grants the room there is, in order; what could not be done in time is handed back instead. */
-export const issueGrants = (context: SideContext, state: SideState): SideStep => {
-  let step = newStep(state);
-  while (step.state.queue.byRequest.size > 0) {
-    const waiting = chooseWithRoom(context, step.state);
-    if (waiting === undefined) {
-      break;
-    }
-    step = andThen(step, (next) => grantOrHandBack(context, next, waiting));
-  }
-  return step;
-};
+export const issueGrants = (context: SideContext, state: SideState): SideStep =>
+  repeatStep(state, (next) => {
+    const waiting = next.queue.byRequest.size === 0 ? undefined : chooseWithRoom(context, next);
+    return waiting && grantOrHandBack(context, next, waiting);
+  });
--- a/packages/side/src/leaving/updateLeaving.ts
+++ b/packages/side/src/leaving/updateLeaving.ts
@@ -6,28 +6,24 @@
 import { handBack } from '../queue/handBack.js';
 import { andThen } from '../step/andThen.js';
 import { newStep } from '../step/newStep.js';
+import { repeatStep } from '../step/repeatStep.js';
 import { sendToEntry } from '../step/sendToEntry.js';
 
 const RETRY_ELSEWHERE_MS = 0;
 
-const handBackAll = (state: SideState): SideStep => {
+const handBackFirst = (state: SideState): SideStep | undefined => {
   const first = state.queue.byRequest.first();
-  return first === undefined
-    ? newStep(state)
-    : andThen(
-        handBack(state, first, { reason: 'draining', retryAfterMs: RETRY_ELSEWHERE_MS }),
-        handBackAll,
-      );
+  return first && handBack(state, first, { reason: 'draining', retryAfterMs: RETRY_ELSEWHERE_MS });
 };
 
-const voidAll = (context: SideContext, state: SideState): SideStep => {
+const voidFirst = (context: SideContext, state: SideState): SideStep | undefined => {
   const first = state.grants.byExpiry.first();
   const grant = first && state.grants.byId.get(first.id);
   if (grant === undefined) {
-    return newStep(state);
+    return undefined;
   }
   const { requestId, entry } = grant.waiting;
-  const returned = newStep(
+  return newStep(
     burnGrant(context, state, grant),
     sendToEntry(entry, {
       type: 'handBack',
@@ -36,7 +32,6 @@
       retryAfterMs: RETRY_ELSEWHERE_MS,
     }),
   );
-  return andThen(returned, (next) => voidAll(context, next));
 };
 
 /** Changes what is known of leaving; when new work is no longer taken, what waits is handed back. */
@@ -49,5 +44,7 @@
   const next = { ...state, leaving };
   return context.decisions.acceptsNewWork(leaving)
     ? newStep(next)
-    : andThen(handBackAll(next), (handed) => voidAll(context, handed));
+    : andThen(repeatStep(next, handBackFirst), (handed) =>
+        repeatStep(handed, (left) => voidFirst(context, left)),
+      );
 };
