Shed and settle many thousands of requests in one event

Cause: a request refused by all side processes gave up the waiting lower tiers one by one by recursion, and steps over many requests joined their effects by copying all earlier ones. Ruled out: leaving lower tiers in place (a higher tier would be shed before them). Change: forEachStep and forEachRequest gather effects once; a pool that is closed to a tier sheds all lower tiers in a loop, one that is open somewhere sheds one and asks again without the earlier refusals. Before and after: a new test sheds 20,000 waiting requests of tier 4 and then the one of tier 2 in one event; it passes.

--- a/packages/entry/src/createEntryReducer.test.ts
+++ b/packages/entry/src/createEntryReducer.test.ts
@@ -11,7 +11,7 @@
 } from '@parsleyhall/common';
 import { EMPTY_CONFIGURATION } from '@parsleyhall/configuration';
 import type { ConfigurationState, Preset } from '@parsleyhall/configuration';
-import type { SideToEntryMessage } from '@parsleyhall/protocol';
+import type { SideDigest, SideToEntryMessage } from '@parsleyhall/protocol';
 import type { ArrivedRequest } from './arrivedRequest.js';
 import { createEntryReducer } from './createEntryReducer.js';
 import type { EntryEffect } from './entryEffect.js';
@@ -110,6 +110,21 @@
 const getSent = (effects: readonly EntryEffect[], type: string): readonly unknown[] =>
   effects.filter((effect) => effect.type === 'sendToSide' && effect.message.type === type);
 
+const CLOSED_DIGEST: SideDigest = {
+  runningRequests: 1,
+  windowRequests: 1,
+  prefillTokensAhead: 0,
+  waitingTokensByTier: [0, 0, 0, 0],
+  waitingByTier: [0, 0, 0, 0],
+  runningByTier: [1, 0, 0, 0],
+  prefillTokensPerSecond: 1_000,
+  decodeTokensPerSecond: 100,
+  predictedWaitMsByTier: [0, 0, 0, 0],
+  lowestTierAdmitted: 1,
+  takesLongPrefills: true,
+  isLeaving: false,
+};
+
 const GRANT = 's1-1' as GrantId;
 
 test('a broken answer is taken up again at the first byte missing and reaches the caller whole', () => {
@@ -217,3 +232,37 @@
     bytes: Buffer.from('bound'),
   });
 });
+
+test('a request shed by a closed pool takes many thousands of lower tiers with it, lowest first', () => {
+  const count = 20_000;
+  const entry = newEntry({ maximumWaiting: count + 1 });
+  const arrive = (id: string, tier: 2 | 4) =>
+    entry.send({ ...entry.at(1), type: 'requestArrived', request: newRequest(id, { tier }) });
+  for (let index = 0; index < count; index += 1) {
+    arrive(`low-${String(index)}`, 4);
+  }
+  arrive('high', 2);
+  const requestId = 'high' as RequestId;
+  entry.hear({ type: 'digest', digest: CLOSED_DIGEST });
+  const shed = entry
+    .hear({ type: 'handBack', requestId, reason: 'shed', retryAfterMs: 100 })
+    .flatMap((effect) => (effect.type === 'answerFailure' ? [effect.requestId] : []));
+  expect(shed).toHaveLength(count + 1);
+  expect(shed.at(-1)).toBe('high');
+});
+
+test('a refused request asks again where it may be admitted and gives up one lower request for it', () => {
+  const entry = newEntry();
+  const arrive = (id: string, tier: 2 | 4) =>
+    entry.send({ ...entry.at(1), type: 'requestArrived', request: newRequest(id, { tier }) });
+  arrive('low-1', 4);
+  arrive('low-2', 4);
+  arrive('high', 2);
+  const requestId = 'high' as RequestId;
+  const effects = entry.hear({ type: 'handBack', requestId, reason: 'shed', retryAfterMs: 100 });
+  const shed = effects.flatMap((effect) =>
+    effect.type === 'answerFailure' ? [effect.requestId] : [],
+  );
+  expect(shed).toEqual(['low-2']);
+  expect(getSent(effects, 'reserve')).toHaveLength(1);
+});
--- a/packages/entry/src/keys/readKeyRecords.ts
+++ b/packages/entry/src/keys/readKeyRecords.ts
@@ -1,6 +1,8 @@
 import type { EntryEvent } from '../entryEvent.js';
 import type { EntryScope } from '../entryScope.js';
 import type { EntryStep } from '../entryStep.js';
+import { forEachRequest } from '../requests/forEachRequest.js';
+import { forEachStep } from '../steps/forEachStep.js';
 import { EMPTY_KEY_STATE } from './emptyKeyState.js';
 import { evaluateClaim } from './evaluateClaim.js';
 import { foldKeyRecord } from './foldKeyRecord.js';
@@ -49,12 +51,8 @@
     : partition;
   const folded = foldInto(trusted, offset, record, scope.settings.logRetentionMs);
   const waiters = folded.waiters.get(record.key) ?? [];
-  return waiters.reduce(
-    (current, requestId) => {
-      const tracked = current.state.requests.get(requestId);
-      return tracked === undefined ? current : evaluateClaim(scope, current, tracked);
-    },
-    storePartition(step, index, folded),
+  return forEachRequest(storePartition(step, index, folded), waiters, (current, tracked) =>
+    evaluateClaim(scope, current, tracked),
   );
 };
 
@@ -64,9 +62,8 @@
   step: EntryStep,
   event: KeyRecordsRead,
 ): EntryStep => {
-  const read = event.records.reduce(
-    (current, entry) => readRecord(scope, current, event.partition, entry),
-    step,
+  const read = forEachStep(step, event.records, (current, entry) =>
+    readRecord(scope, current, event.partition, entry),
   );
   const partition = read.state.partitions.get(event.partition) ?? newKeyPartition();
   const nextOffset = Math.max(partition.nextOffset, event.nextOffset);
--- a/packages/entry/src/requests/giveUpPlacing.ts
+++ b/packages/entry/src/requests/giveUpPlacing.ts
@@ -1,8 +1,10 @@
 import type { EntryScope } from '../entryScope.js';
 import type { EntryStep } from '../entryStep.js';
+import { getAdmittingSides } from '../pools/getAdmittingSides.js';
 import { failRequest } from './failRequest.js';
 import { findLowerTierVictim } from './findLowerTierVictim.js';
 import { placeRequest } from './placeRequest.js';
+import { shedLowerTiers } from './shedLowerTiers.js';
 import { shedRequest } from './shedRequest.js';
 import { storeRequest } from './storeRequest.js';
 import type { TrackedRequest } from './trackedRequest.js';
@@ -17,7 +19,8 @@
   scope: EntryScope,
   step: EntryStep,
   tracked: TrackedRequest,
-  retryAfterMs: number | undefined,
+  waiting: Waiting,
+  retryAfterMs: number,
 ): EntryStep => {
   const victim = scope.decisions.shedsLowerTierFirst(tracked.request)
     ? findLowerTierVictim(step.state, tracked)
@@ -25,7 +28,12 @@
   if (victim === undefined) {
     return shedRequest(scope, step, tracked, retryAfterMs);
   }
-  return placeRequest(scope, shedRequest(scope, step, victim, retryAfterMs), tracked);
+  if (getAdmittingSides(step.state, tracked.request).length === 0) {
+    const shed = shedLowerTiers(scope, step, tracked, retryAfterMs);
+    return shedRequest(scope, shed, tracked, retryAfterMs);
+  }
+  const retried = withPhase(scope.settings, tracked, { ...waiting, handBacks: [] });
+  return placeRequest(scope, shedRequest(scope, step, victim, retryAfterMs), retried);
 };
 
 /**
@@ -47,7 +55,7 @@
   };
   const shedAfterMs = soonest(['shed', 'queueFull']);
   if (shedAfterMs !== undefined) {
-    return shedInTierOrder(scope, step, tracked, shedAfterMs);
+    return shedInTierOrder(scope, step, tracked, waiting, shedAfterMs);
   }
   const unreachableAfterMs = soonest(['deadlineUnreachable']);
   if (unreachableAfterMs !== undefined) {
--- a/packages/entry/src/requests/placeRequest.ts
+++ b/packages/entry/src/requests/placeRequest.ts
@@ -1,5 +1,6 @@
 import type { EntryScope } from '../entryScope.js';
 import type { EntryStep } from '../entryStep.js';
+import { getAdmittingSides } from '../pools/getAdmittingSides.js';
 import { getUsableSides } from '../pools/getUsableSides.js';
 import { giveUpPlacing } from './giveUpPlacing.js';
 import { reserveAt } from './reserveAt.js';
@@ -35,12 +36,10 @@
   const { state } = step;
   const waiting = getWaiting(scope, tracked);
   const refusing = new Set(waiting.handBacks.map(({ side }) => side));
-  const usable = getUsableSides(state, request);
-  const admitting = usable.filter(
-    ({ digest }) => digest === undefined || digest.lowestTierAdmitted >= request.tier,
-  );
+  const admitting = getAdmittingSides(state, request);
   const candidates = admitting.filter(({ side }) => !refusing.has(side));
   if (candidates.length === 0) {
+    const usable = getUsableSides(state, request);
     const isClosedToTier = usable.length > 0 && admitting.length === 0;
     const handBacks = isClosedToTier
       ? usable.map(({ side, digest }) => ({
--- a/packages/entry/src/requests/placeUnplaced.ts
+++ b/packages/entry/src/requests/placeUnplaced.ts
@@ -1,6 +1,7 @@
 import type { PoolName } from '@parsleyhall/common';
 import type { EntryScope } from '../entryScope.js';
 import type { EntryStep } from '../entryStep.js';
+import { forEachRequest } from './forEachRequest.js';
 import { placeRequest } from './placeRequest.js';
 
 const REQUESTS_PER_PASS = 64;
@@ -14,8 +15,5 @@
       break;
     }
   }
-  return ids.reduce((current, id) => {
-    const tracked = current.state.requests.get(id);
-    return tracked === undefined ? current : placeRequest(scope, current, tracked);
-  }, step);
+  return forEachRequest(step, ids, (current, tracked) => placeRequest(scope, current, tracked));
 };
--- a/packages/entry/src/sides/beatHearts.ts
+++ b/packages/entry/src/sides/beatHearts.ts
@@ -1,6 +1,7 @@
 import type { EntryScope } from '../entryScope.js';
 import type { EntryStep } from '../entryStep.js';
 import { emit } from '../steps/emit.js';
+import { forEachStep } from '../steps/forEachStep.js';
 import { sendToSide } from '../steps/sendToSide.js';
 import { withState } from '../steps/withState.js';
 import { breakLink } from './breakLink.js';
@@ -28,7 +29,7 @@
   const planned = withState(step, {
     nextHeartbeatAtMs: scope.nowMs + scope.settings.heartbeatMs,
   });
-  return planned.state.sides
-    .valueSeq()
-    .reduce((current, link) => attendLink(scope, current, link), planned);
+  return forEachStep(planned, planned.state.sides.values(), (current, link) =>
+    attendLink(scope, current, link),
+  );
 };
--- a/packages/entry/src/sides/breakLink.ts
+++ b/packages/entry/src/sides/breakLink.ts
@@ -2,6 +2,7 @@
 import type { EntryScope } from '../entryScope.js';
 import type { EntryState } from '../entryState.js';
 import type { EntryStep } from '../entryStep.js';
+import { forEachRequest } from '../requests/forEachRequest.js';
 import { dropReservation } from '../requests/dropReservation.js';
 import { settleUnrun } from '../requests/settleUnrun.js';
 import { updateLink } from './updateLink.js';
@@ -30,14 +31,10 @@
     state: leavePool(closed.state, side, link.greeting?.pool),
     effects: closed.effects,
   };
-  const dropped = link.reserved.reduce((current, requestId) => {
-    const tracked = current.state.requests.get(requestId);
-    return tracked === undefined ? current : dropReservation(scope, current, tracked, side);
-  }, left);
-  return link.bound.reduce((current, requestId) => {
-    const tracked = current.state.requests.get(requestId);
-    return tracked === undefined
-      ? current
-      : settleUnrun(scope, current, tracked, scope.decisions.settleBrokenGive(tracked));
-  }, dropped);
+  const dropped = forEachRequest(left, link.reserved, (current, tracked) =>
+    dropReservation(scope, current, tracked, side),
+  );
+  return forEachRequest(dropped, link.bound, (current, tracked) =>
+    settleUnrun(scope, current, tracked, scope.decisions.settleBrokenGive(tracked)),
+  );
 };
--- a/packages/entry/src/sides/greetSide.ts
+++ b/packages/entry/src/sides/greetSide.ts
@@ -4,6 +4,7 @@
 import type { EntryStep } from '../entryStep.js';
 import { newPoolState } from '../pools/newPoolState.js';
 import { askFate } from '../requests/askFate.js';
+import { forEachRequest } from '../requests/forEachRequest.js';
 import { placeUnplaced } from '../requests/placeUnplaced.js';
 import { shareConfiguration } from '../configuration/shareConfiguration.js';
 import { updateLink } from './updateLink.js';
@@ -34,9 +35,8 @@
   });
   const shared = shareConfiguration(joinPool(greeted, side, hello), side, configurationVersion);
   const bound = shared.state.sides.get(side)?.bound ?? [];
-  const asked = [...bound].reduce((current, requestId) => {
-    const tracked = current.state.requests.get(requestId);
-    return tracked === undefined ? current : askFate(scope, current, tracked);
-  }, shared);
+  const asked = forEachRequest(shared, bound, (current, tracked) =>
+    askFate(scope, current, tracked),
+  );
   return placeUnplaced(scope, asked, pool);
 };
--- a/packages/entry/src/sides/listHosts.ts
+++ b/packages/entry/src/sides/listHosts.ts
@@ -3,7 +3,9 @@
 import type { EntryStep } from '../entryStep.js';
 import type { ListedHost } from '../listedHost.js';
 import { storeRequest } from '../requests/storeRequest.js';
+import { forEachRequest } from '../requests/forEachRequest.js';
 import { emit } from '../steps/emit.js';
+import { forEachStep } from '../steps/forEachStep.js';
 import { withState } from '../steps/withState.js';
 import { breakLink } from './breakLink.js';
 import { chooseSubset } from './chooseSubset.js';
@@ -33,14 +35,10 @@
 
 /** Gives requests bound to a side process that is neither listed nor connected a last time to be settled. */
 const limitSettling = (scope: EntryScope, step: EntryStep, link: SideLink): EntryStep =>
-  link.bound.reduce((current, requestId) => {
-    const tracked = current.state.requests.get(requestId);
-    if (tracked === undefined) {
-      return current;
-    }
+  forEachRequest(step, link.bound, (current, tracked) => {
     const dueAtMs = Math.min(tracked.dueAtMs, scope.nowMs + scope.settings.settleAllowanceMs);
     return storeRequest(current, { ...tracked, dueAtMs });
-  }, step);
+  });
 
 const takeUnlisted = (scope: EntryScope, step: EntryStep, link: SideLink): EntryStep => {
   const { side } = link;
@@ -62,10 +60,10 @@
   const { entry, sidesPerPool = Number.POSITIVE_INFINITY } = scope.settings;
   const hosts = chooseSubset(entry, listedHosts, sidesPerPool);
   const counted = withState(step, { liveEntries: Math.max(1, liveEntries ?? 1) });
-  const taken = hosts.reduce((current, listed) => takeListed(scope, current, listed), counted);
+  const taken = forEachStep(counted, hosts, (current, listed) =>
+    takeListed(scope, current, listed),
+  );
   const listedSides = new Set(hosts.map(({ side }) => side));
-  return taken.state.sides
-    .valueSeq()
-    .filter(({ side }) => !listedSides.has(side))
-    .reduce((current, link) => takeUnlisted(scope, current, link), taken);
+  const unlisted = taken.state.sides.valueSeq().filter(({ side }) => !listedSides.has(side));
+  return forEachStep(taken, unlisted, (current, link) => takeUnlisted(scope, current, link));
 };
