Keep the configuration's reader quick and the burn report short at many teams

Ruled out: checking a record less than the schema says (readers of two releases would then disagree sooner).

--- a/packages/configuration/src/document/findCrossFaults.ts
+++ b/packages/configuration/src/document/findCrossFaults.ts
@@ -53,10 +53,16 @@
   readonly allowed: string;
 }
 
-const findRepeats = (values: readonly (string | number | undefined)[]): readonly number[] =>
-  values.flatMap((value, index) =>
-    value !== undefined && values.indexOf(value) < index ? [index] : [],
-  );
+const findRepeats = (values: readonly (string | number | undefined)[]): readonly number[] => {
+  const seen = new Set<string | number>();
+  return values.flatMap((value, index) => {
+    const isRepeat = value !== undefined && seen.has(value);
+    if (value !== undefined) {
+      seen.add(value);
+    }
+    return isRepeat ? [index] : [];
+  });
+};
 
 const findRepeatedNames = (outline: Outline): readonly CrossFault[] =>
   (['teams', 'pools', 'presets'] as const).flatMap((list) =>
--- a/packages/daemon/src/platformReaders/startConfigurationFollower.ts
+++ b/packages/daemon/src/platformReaders/startConfigurationFollower.ts
@@ -18,6 +18,8 @@
 import type { ConfigurationFollower } from './configurationFollower.js';
 
 const FIRST_OFFSET = 1;
+// A record of a large organisation takes long to check, and heartbeats must not wait for many.
+const PAGE_RECORDS = 4;
 const HASH_VALUES = 2 ** 32;
 const CHECKS_PER_RETENTION = 32;
 const LONGEST_CHECK_PERIOD_MS = 10_000;
@@ -78,6 +80,8 @@
     client,
     stream: CONFIGURATION_STREAM,
     from: FIRST_OFFSET,
+    pageRecords: PAGE_RECORDS,
+    getWantedFrom: () => reader.nextOffset,
     onPage: (page) => {
       const read = readConfigurationPage(reader, page);
       read.verdicts.forEach(onVerdict);
--- a/packages/operator/src/report/page/renderBurnPage.ts
+++ b/packages/operator/src/report/page/renderBurnPage.ts
@@ -2,6 +2,8 @@
 import type { BurnRow } from '../burnRow.js';
 import { BURN_TABLE } from '../burnTable.js';
 import { formatBurnValue } from '../formatBurnValue.js';
+import { getWorstRows } from '../getWorstRows.js';
+import { ROWS_SHOWN } from '../rowsShown.js';
 import { escapeHtml } from './escapeHtml.js';
 import { getBurnPlots } from './getBurnPlots.js';
 import { PAGE_STYLE } from './pageStyle.js';
@@ -39,6 +41,11 @@
   return figures.join('\n');
 };
 
+const renderTeamNote = ({ teams }: BurnReport): string =>
+  teams.length > ROWS_SHOWN
+    ? `<p>The ${ROWS_SHOWN} rows with the most misses, of ${teams.length}.</p>`
+    : '';
+
 const formatTime = (atMs: number): string => new Date(atMs).toISOString().replace('.000Z', 'Z');
 
 /** Renders the burn report as one HTML page that needs nothing else and prints well. */
@@ -60,7 +67,8 @@
 ${renderTable(report.tiers)}
 ${await renderPlots(report)}
 <h2>By tier and team</h2>
-${renderTable(report.teams)}
+${renderTeamNote(report)}
+${renderTable(getWorstRows(report.teams, ROWS_SHOWN))}
 </body>
 </html>
 `;
--- a/packages/operator/src/status/formatStatus.ts
+++ b/packages/operator/src/status/formatStatus.ts
@@ -66,6 +66,12 @@
     .filter(({ sides }) => sides.some(({ isConnected }) => !isConnected))
     .map(({ process, sides }) => `${process} sees: ${sides.map(formatSide).join(', ')}`);
 
+const compareReports = (
+  { listed: left }: ProcessReport,
+  { listed: right }: ProcessReport,
+): number =>
+  left.role.localeCompare(right.role, 'en') || left.process.localeCompare(right.process, 'en');
+
 /** Lays out the processes, then what is behind, shed or cut off. */
 export const formatStatus = (reports: readonly ProcessReport[]): string => {
   const statuses = reports.flatMap(({ status }) => status.map((value) => [value]).orDefault([]));
@@ -75,7 +81,7 @@
   return [
     formatTable({
       head: HEAD,
-      rows: reports.map((report) => formatProcess(report, newestVersion)),
+      rows: [...reports].sort(compareReports).map((report) => formatProcess(report, newestVersion)),
     }),
     `newest version: ${newestVersion}; behind it: ${behind.map(({ process }) => process).join(', ') || 'none'}; without an answer: ${silent}`,
     ...formatShedding(statuses),
--- a/packages/operator/tests/reportBurn.test.ts
+++ b/packages/operator/tests/reportBurn.test.ts
@@ -141,6 +141,18 @@
     expect(page).toContain('Over its error budget: tier 1.');
   });
 
+  test('shows the worst rows of many teams and says that it left some out', async () => {
+    const rows = Array.from({ length: 60 }, (_, index) =>
+      newRow({ team: `team-${index}`, sent: 100, inTime: 40 + index, failed: 60 - index }),
+    );
+    const operator = await start([newRecord(1, 'ordinary', rows)]);
+    const { output } = await operator.run('report burn');
+    expect(output).toContain('the 40 worst of 60 rows');
+    expect(output).toContain('team-39 ');
+    expect(output).not.toContain('team-40 ');
+    expect(await operator.runJson('report burn')).toMatchObject({ teams: { length: 60 } });
+  });
+
   test('without summaries, or with odd windows, the command says so', async () => {
     const operator = await start([]);
     expect(await operator.run('report burn')).toMatchObject({ exitCode: 1 });
--- a/packages/platform/src/log/followStream.ts
+++ b/packages/platform/src/log/followStream.ts
@@ -33,6 +33,8 @@
   signal,
   wait = waitForTime,
   longPollMs = LONG_POLL_MS,
+  pageRecords = PAGE_RECORDS,
+  getWantedFrom = () => from,
 }: {
   readonly client: Pick<LogClient, 'read'>;
   readonly stream: string;
@@ -42,6 +44,10 @@
   readonly signal: AbortSignal;
   readonly wait?: Wait;
   readonly longPollMs?: number;
+  /** Records of a page at most; fewer keep the loop free where a record takes long to work on. */
+  readonly pageRecords?: number;
+  /** First offset that is still wanted, asked before each read; lets a reader skip what it came to know otherwise. */
+  readonly getWantedFrom?: () => number;
 }): Promise<void> => {
   let nextOffset = from;
   let failures = 0;
@@ -64,8 +70,8 @@
   while (!isAborted()) {
     const page = await client.read({
       stream,
-      from: nextOffset,
-      limit: PAGE_RECORDS,
+      from: Math.max(nextOffset, getWantedFrom()),
+      limit: pageRecords,
       waitMs: longPollMs,
       signal,
     });
--- a/packages/platform/tests/followStream.test.ts
+++ b/packages/platform/tests/followStream.test.ts
@@ -50,3 +50,27 @@
   ]);
   expect(waits).toEqual([100, 200, 400, 800, 1_600, 2_000, 2_000, 2_000, 7_000]);
 });
+
+test('a follower skips what its reader no longer wants', async () => {
+  const stop = new AbortController();
+  const asked: number[] = [];
+  await followStream({
+    client: {
+      read: ({ from }) => {
+        asked.push(from);
+        return Promise.resolve(newPage(from, from + 1));
+      },
+    },
+    stream: 'configuration',
+    from: 1,
+    onPage: ({ nextOffset }) => {
+      if (nextOffset > 40) {
+        stop.abort();
+      }
+    },
+    onFailure: () => undefined,
+    signal: stop.signal,
+    getWantedFrom: () => (asked.length < 2 ? 1 : 40),
+  });
+  expect(asked).toEqual([1, 2, 40]);
+});
