--- a/packages/daemon/src/report/createReportAccount.ts
+++ b/packages/daemon/src/report/createReportAccount.ts
@@ -21,6 +21,9 @@
   prefillTokens: number;
 }
 
+// A caller's own mistake is no failure of the service.
+type ReportedResult = Exclude<CallerOutcome['result'], 'invalid'>;
+
 const newSums = (tier: Tier, team: TeamName): Sums => ({
   tier,
   team,
@@ -40,7 +43,10 @@
   counts[name] = (counts[name] ?? 0) + amount;
 };
 
-const addResult = (sums: Sums, { result, reason }: CallerOutcome): void => {
+const addResult = (
+  sums: Sums,
+  { result, reason }: { readonly result: ReportedResult; readonly reason: string },
+): void => {
   switch (result) {
     case 'inTime':
     case 'late':
@@ -49,7 +55,6 @@
       sums[result] += 1;
       return;
     case 'notRun':
-    case 'invalid':
       addTo(sums.notRunByReason, reason, 1);
       return;
     case 'cut':
@@ -58,12 +63,12 @@
   }
 };
 
-const addOutcome = (sums: Sums, outcome: CallerOutcome): void => {
+const addOutcome = (sums: Sums, result: ReportedResult, outcome: CallerOutcome): void => {
   sums.sent += 1;
-  addResult(sums, outcome);
+  addResult(sums, { result, reason: outcome.reason });
   sums.prefillTokens += outcome.prefillTokens;
-  if (outcome.result !== 'inTime' && outcome.prefillTokens > 0) {
-    addTo(sums.wastedPrefillTokensByCause, outcome.result, outcome.prefillTokens);
+  if (result !== 'inTime' && outcome.prefillTokens > 0) {
+    addTo(sums.wastedPrefillTokensByCause, result, outcome.prefillTokens);
   }
   if (outcome.firstTokenMs !== undefined) {
     sums.firstToken.recordValue(outcome.firstTokenMs);
@@ -82,10 +87,14 @@
   let sumsByRow = new Map<string, Sums>();
   return {
     add: (outcome) => {
+      const { result } = outcome;
+      if (result === 'invalid') {
+        return;
+      }
       const row = `${outcome.tier} ${outcome.team}`;
       const sums = sumsByRow.get(row) ?? newSums(outcome.tier, outcome.team);
       sumsByRow.set(row, sums);
-      addOutcome(sums, outcome);
+      addOutcome(sums, result, outcome);
     },
     takeRows: () => {
       const rows = [...sumsByRow.values()].map(toRow);
--- a/packages/daemon/tests/wholePath.test.ts
+++ b/packages/daemon/tests/wholePath.test.ts
@@ -1,5 +1,6 @@
 import { v7 as newUuid } from 'uuid';
 import { expect, test } from 'vitest';
+import { createLogClient, REPORT_STREAM, reportRecordSchema } from '@parsleyhall/platform';
 import { getExpectedServiceAnswer } from '@parsleyhall/stand-ins';
 import { ask } from './support/ask.js';
 import { getExpectedBody } from './support/getExpectedBody.js';
@@ -40,6 +41,15 @@
 
   system.entry.signal('SIGTERM');
   expect(await system.entry.exited).toBe(0);
+
+  const log = createLogClient({ address: system.platform.logAddress });
+  const page = await log.read({ stream: REPORT_STREAM, from: 1, limit: 10, waitMs: 0 });
+  await log[Symbol.asyncDispose]();
+  const reports = page.unsafeCoerce().records.map(({ value }) => reportRecordSchema.parse(value));
+  expect(reports.flatMap(({ rows }) => rows)).toMatchObject([
+    { tier: 3, team: 'branches', sent: 5, inTime: 5, notRunByReason: {} },
+  ]);
+
   system.engineSide.signal('SIGTERM');
   expect(await system.engineSide.exited).toBe(0);
 });
