--- a/packages/bench/src/saturation/main.ts
+++ b/packages/bench/src/saturation/main.ts
@@ -1,7 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 import { MS_PER_SECOND } from '@parsleyhall/common';
-import { startEngineStandIn } from '@parsleyhall/stand-ins';
+import { startEngineStandIn, type EngineStats } from '@parsleyhall/stand-ins';
 import { Agent, request } from 'undici';
+import { callJson } from '../cluster/callJson.js';
 import { newHttpCall } from '../load/newHttpCall.js';
 import type { PlannedCall } from '../load/plannedCall.js';
 import { formatTable } from '../report/formatTable.js';
@@ -9,12 +11,13 @@
 import type { Deployment } from '../workload/deployment.js';
 import { drawSchedule } from '../workload/drawSchedule.js';
 import { getEngineSettings } from '../workload/getEngineSettings.js';
-import { getWorkCostMs } from '../workload/getWorkCostMs.js';
+import { getTokensCostMs } from '../workload/getTokensCostMs.js';
 import { NILEGATE } from '../workload/nilegate.js';
 import { RATED_BATCH } from '../workload/ratedBatch.js';
 
 const TIME_SCALE = 2;
 const DURATION_MS = 10_000;
+const WARM_UP_MS = 3_000;
 const CALLS_DURATION_MS = 60_000;
 const SEED = 1;
 
@@ -38,7 +41,6 @@
   }).filter(({ work }) => work.type === 'engine');
   const untilMs = performance.now() + DURATION_MS;
   let next = 0;
-  let doneMs = 0;
 
   const send = async (call: PlannedCall): Promise<void> => {
     const http = newHttpCall(call, call);
@@ -50,9 +52,6 @@
       body,
     });
     await answer.body.dump({ limit: Number.POSITIVE_INFINITY });
-    if (performance.now() < untilMs) {
-      doneMs += getWorkCostMs(call.work);
-    }
   };
   const work = async (): Promise<void> => {
     while (performance.now() < untilMs) {
@@ -63,9 +62,20 @@
       }
     }
   };
-  await Promise.all(Array.from({ length: concurrency }, work));
+  const readStats = async (): Promise<EngineStats> =>
+    (await callJson(engine.address, '/control/stats')) as EngineStats;
+  const working = Promise.all(Array.from({ length: concurrency }, work));
+  await sleep(WARM_UP_MS);
+  const before = await readStats();
+  await sleep(untilMs - performance.now());
+  const after = await readStats();
+  await working;
   await dispatcher.destroy();
-  return doneMs / (DURATION_MS * TIME_SCALE * speedFactor);
+  const doneMs = getTokensCostMs(
+    after.prefillTokensComputed - before.prefillTokensComputed,
+    after.decodeTokens - before.decodeTokens,
+  );
+  return doneMs / ((after.elapsedMs - before.elapsedMs) * speedFactor);
 };
 
 const { values } = parseArgs({ options: { speed: { type: 'string', default: '1' } } });
--- a/packages/bench/src/workload/engineModel.ts
+++ b/packages/bench/src/workload/engineModel.ts
@@ -4,7 +4,7 @@
   stepPerRunningMs: 0.15,
   stepPerPrefillTokenMs: 0.012,
   prefillChunkTokens: 800,
-  maximumRunning: 64,
+  maximumRunning: 32,
   keyValueTokens: 120_000,
   cacheTokens: 20_000,
 } as const;
--- a/packages/bench/src/workload/getCallsPerSecond.ts
+++ b/packages/bench/src/workload/getCallsPerSecond.ts
@@ -8,7 +8,7 @@
 const SAMPLES = 2_000;
 const SAMPLE_SEED = 7;
 /** Share of the rated capacity that engines reach on mixed work without pause; `saturation/main.ts` measures it. */
-const REACHED_SHARE = 0.9;
+const REACHED_SHARE = 0.93;
 
 /** Calls of a kind in an engine second at load 1, at which the engine pool is just full. */
 export const getCallsPerSecond = (deployment: Deployment, kind: KindOfWork): number => {
--- a/packages/bench/src/workload/nilegate.ts
+++ b/packages/bench/src/workload/nilegate.ts
@@ -22,7 +22,7 @@
     {
       name: 'draft',
       tier: 1,
-      deadlineMs: 5_000,
+      deadlineMs: 4_000,
       hangUpShare: 0.02,
       work: {
         type: 'engine',
@@ -38,7 +38,7 @@
     {
       name: 'rewrite',
       tier: 2,
-      deadlineMs: 7_000,
+      deadlineMs: 5_000,
       hangUpShare: 0.02,
       work: {
         type: 'engine',
@@ -54,7 +54,7 @@
     {
       name: 'audit',
       tier: 3,
-      deadlineMs: 10_000,
+      deadlineMs: 8_000,
       hangUpShare: 0.02,
       work: {
         type: 'engine',
@@ -70,7 +70,7 @@
     {
       name: 'tag',
       tier: 4,
-      deadlineMs: 8_000,
+      deadlineMs: 6_000,
       hangUpShare: 0,
       work: {
         type: 'engine',
--- a/packages/bench/src/workload/ratedBatch.ts
+++ b/packages/bench/src/workload/ratedBatch.ts
@@ -1,2 +1,2 @@
 /** Requests in the batch at which an engine's capacity is worked out. */
-export const RATED_BATCH = 24;
+export const RATED_BATCH = 32;
