--- a/packages/side/src/estimates/relaxEstimates.ts
+++ b/packages/side/src/estimates/relaxEstimates.ts
@@ -1,6 +1,7 @@
 import type { EstimatesState } from './estimatesState.js';
 
 const RELAXATION = 0.9;
+const MAXIMUM_PREFILL_TOKENS_PER_MS = 50;
 
 /**
  * The estimates after a while in which nothing ran: a little more hopeful, so that a target which was slow is tried again
@@ -8,7 +9,10 @@
  */
 export const relaxEstimates = (estimates: EstimatesState): EstimatesState => ({
   ...estimates,
-  prefillTokensPerMs: estimates.prefillTokensPerMs / RELAXATION,
+  prefillTokensPerMs: Math.max(
+    estimates.prefillTokensPerMs,
+    Math.min(MAXIMUM_PREFILL_TOKENS_PER_MS, estimates.prefillTokensPerMs / RELAXATION),
+  ),
   firstTokenBaseMs: estimates.firstTokenBaseMs * RELAXATION,
   betweenTokens: {
     ...estimates.betweenTokens,
--- a/packages/side/src/leaving/finishStop.ts
+++ b/packages/side/src/leaving/finishStop.ts
@@ -7,7 +7,7 @@
   decisions.mayStop({
     outstandingGrants: grants.byRequest.size,
     activeRequests: runs.activeRequests,
-    keptAnswers: runs.byId.count(({ phase }) => phase === 'done'),
+    keptAnswers: runs.byId.count(({ phase }) => phase === 'done' || phase === 'cancelled'),
   });
 
 /** Says once that all work is finished after a planned stop. */
--- a/packages/side/src/leaving/mayStop.ts
+++ b/packages/side/src/leaving/mayStop.ts
@@ -1,4 +1,4 @@
-/** Whether the process may end after a planned stop: nothing is granted, runs or waits to be fetched. */
+/** Whether the process may end after a planned stop: nothing is granted, runs, is being cancelled or waits to be fetched. */
 export const mayStop = ({
   outstandingGrants,
   activeRequests,
--- a/packages/side/src/runs/acknowledgeEnd.ts
+++ b/packages/side/src/runs/acknowledgeEnd.ts
@@ -9,7 +9,7 @@
   { entry, grantId }: { readonly entry: EntryId; readonly grantId: GrantId },
 ): SideState => {
   const run = state.runs.byId.get(grantId);
-  return run?.entry !== entry || isRunActive(run)
+  return run?.entry !== entry || isRunActive(run) || run.phase === 'cancelled'
     ? state
     : { ...state, runs: removeRun(state.runs, run) };
 };
--- a/packages/side/src/runs/answerFate.ts
+++ b/packages/side/src/runs/answerFate.ts
@@ -35,7 +35,7 @@
   if (run.phase === 'resuming') {
     return newStep(next);
   }
-  if (fromByte < run.keptFrom) {
+  if (run.phase === 'cancelled' || fromByte < run.keptFrom) {
     return newStep(
       state,
       sendToEntry(entry, { type: 'fate', grantId, requestId, fate: 'unknown' }),
--- a/packages/side/src/runs/cancelRun.ts
+++ b/packages/side/src/runs/cancelRun.ts
@@ -1,13 +1,18 @@
+import { List } from 'immutable';
 import type { EntryId, GrantId } from '@parsleyhall/common';
 import type { SideState } from '../sideState.js';
 import type { SideContext } from '../step/sideContext.js';
 import type { SideStep } from '../step/sideStep.js';
+import type { Run } from './run.js';
 import { newStep } from '../step/newStep.js';
 import { isRunActive } from './isRunActive.js';
 import { removeRun } from './removeRun.js';
 import { setRun } from './setRun.js';
 import { vacateRun } from './vacateRun.js';
 
+// A planned stop waits for the target's word on a cancelled run, or for this long where it says none.
+const CANCELLATION_MS = 250;
+
 /** Drops the answer of a run whose caller hung up, and cancels the work where that spares something. */
 export const cancelRun = (
   context: SideContext,
@@ -18,6 +23,9 @@
   if (run?.entry !== entry) {
     return newStep(state);
   }
+  if (run.phase === 'cancelled') {
+    return newStep(state);
+  }
   if (!isRunActive(run)) {
     return newStep({ ...state, runs: removeRun(state.runs, run) });
   }
@@ -26,8 +34,15 @@
     return newStep({ ...state, runs: setRun(state.runs, unrelayed) });
   }
   const vacated = vacateRun(state, run);
+  const cancelled: Run = {
+    ...run,
+    phase: 'cancelled',
+    chunks: List(),
+    keptFrom: run.nextOffset,
+    keptUntilMs: context.nowMs + CANCELLATION_MS,
+  };
   return newStep(
-    { ...vacated, runs: removeRun(vacated.runs, run) },
+    { ...vacated, runs: setRun(vacated.runs, cancelled) },
     { type: 'cancelOnTarget', grantId, requestId: run.requestId },
   );
 };
--- a/packages/side/src/runs/expireRuns.ts
+++ b/packages/side/src/runs/expireRuns.ts
@@ -11,7 +11,7 @@
   if (first === undefined || run === undefined) {
     return state;
   }
-  const isOver = first.rank + context.settings.answerRetentionMs <= context.nowMs;
+  const isOver = first.rank <= context.nowMs;
   if (!isOver && state.runs.keptBytes <= MAXIMUM_KEPT_BYTES) {
     return state;
   }
--- a/packages/side/src/runs/indexRun.ts
+++ b/packages/side/src/runs/indexRun.ts
@@ -15,8 +15,8 @@
 
 /** The runs with the run's places in the time indexes added or removed. */
 export const indexRun = (runs: RunsState, run: Run, change: 'with' | 'without'): RunsState => {
-  if (run.endedAtMs !== undefined) {
-    return { ...runs, ended: runs.ended[change](run.endedAtMs, run.grantId) };
+  if (run.keptUntilMs !== undefined) {
+    return { ...runs, ended: runs.ended[change](run.keptUntilMs, run.grantId) };
   }
   const activeRequests = runs.activeRequests + (change === 'with' ? 1 : -1);
   return indexActive({ ...runs, activeRequests }, run, change);
--- a/packages/side/src/runs/newRun.ts
+++ b/packages/side/src/runs/newRun.ts
@@ -11,7 +11,7 @@
     | 'tokens'
     | 'isPrefilled'
     | 'lastTokenAtMs'
-    | 'endedAtMs'
+    | 'keptUntilMs'
     | 'usage'
     | 'failure'
   >,
@@ -23,7 +23,7 @@
   tokens: 0,
   isPrefilled: false,
   lastTokenAtMs: undefined,
-  endedAtMs: undefined,
+  keptUntilMs: undefined,
   usage: undefined,
   failure: undefined,
 });
--- a/packages/side/src/runs/run.ts
+++ b/packages/side/src/runs/run.ts
@@ -14,7 +14,7 @@
   readonly relayConnection: number | undefined;
   readonly isStreaming: boolean;
   /** Resuming until the target has said that it knows the request. */
-  readonly phase: 'resuming' | 'running' | 'done' | 'failed';
+  readonly phase: 'resuming' | 'running' | 'done' | 'failed' | 'cancelled';
   readonly startedAtMs: number;
   readonly deadlineMs: number;
   /** Prefill tokens of others whose first token was outstanding at the start. */
@@ -33,7 +33,8 @@
   /** True once the prefill is no longer ahead of other work, seen or assumed. */
   readonly isPrefilled: boolean;
   readonly lastTokenAtMs: number | undefined;
-  readonly endedAtMs: number | undefined;
+  /** When an ended run is forgotten at the latest; undefined while it is active. */
+  readonly keptUntilMs: number | undefined;
   readonly usage: { readonly prefillTokens: number; readonly decodeTokens: number } | undefined;
   readonly failure: 'notRun' | 'unknown' | undefined;
 }
--- a/packages/side/src/runs/runsState.ts
+++ b/packages/side/src/runs/runsState.ts
@@ -7,7 +7,7 @@
   readonly byId: Map<GrantId, Run>;
   /** Runs that the target still works on. */
   readonly activeRequests: number;
-  /** Ended runs by the time of their end. */
+  /** Ended runs by the time at which they are forgotten. */
   readonly ended: OrderedIndex<GrantId>;
   /** Streamed runs whose next token is awaited by the time of the last one. */
   readonly decoding: OrderedIndex<GrantId>;
--- a/packages/side/src/runs/takeEnd.ts
+++ b/packages/side/src/runs/takeEnd.ts
@@ -5,6 +5,7 @@
 import type { TargetEvent } from './targetEvent.js';
 import { newStep } from '../step/newStep.js';
 import { confirmResumed } from './confirmResumed.js';
+import { forgetCancelled } from './forgetCancelled.js';
 import { isRunActive } from './isRunActive.js';
 import { learnEnd } from './learnEnd.js';
 import { observeEnd } from './observeEnd.js';
@@ -20,11 +21,16 @@
 ): SideStep => {
   const run = state.runs.byId.get(event.grantId);
   if (run === undefined || !isRunActive(run)) {
-    return newStep(state);
+    return newStep(forgetCancelled(state, event.grantId));
   }
   const { grantId, requestId, nextOffset: totalBytes } = run;
   const usage = { prefillTokens: event.prefillTokens, decodeTokens: event.decodeTokens };
-  const ended: Run = { ...run, phase: 'done', endedAtMs: context.nowMs, usage };
+  const ended: Run = {
+    ...run,
+    phase: 'done',
+    keptUntilMs: context.nowMs + context.settings.answerRetentionMs,
+    usage,
+  };
   const learned = vacateRun(learnEnd(context, state, run, event.decodeTokens), run);
   return newStep(
     { ...learned, runs: setRun(learned.runs, ended) },
--- a/packages/side/src/runs/takeFailure.ts
+++ b/packages/side/src/runs/takeFailure.ts
@@ -5,6 +5,7 @@
 import type { TargetEvent } from './targetEvent.js';
 import { newStep } from '../step/newStep.js';
 import { confirmResumed } from './confirmResumed.js';
+import { forgetCancelled } from './forgetCancelled.js';
 import { isRunActive } from './isRunActive.js';
 import { relay } from './relay.js';
 import { setRun } from './setRun.js';
@@ -24,11 +25,16 @@
 ): SideStep => {
   const run = state.runs.byId.get(event.grantId);
   if (run === undefined || !isRunActive(run)) {
-    return newStep(state);
+    return newStep(forgetCancelled(state, event.grantId));
   }
   const { grantId, requestId } = run;
   const outcome = getOutcome(run, event);
-  const failed: Run = { ...run, phase: 'failed', endedAtMs: context.nowMs, failure: outcome };
+  const failed: Run = {
+    ...run,
+    phase: 'failed',
+    keptUntilMs: context.nowMs + context.settings.answerRetentionMs,
+    failure: outcome,
+  };
   const vacated = vacateRun(state, run);
   return newStep(
     { ...vacated, runs: setRun(vacated.runs, failed) },
--- a/packages/side/src/window/hasRoom.ts
+++ b/packages/side/src/window/hasRoom.ts
@@ -2,7 +2,8 @@
 import type { Occupancy } from './occupancy.js';
 import type { WindowState } from './windowState.js';
 
-const LOWER_TIERS_PREFILL_SHARE = 0.5;
+const TIER_ONE_PREFILL_SHARE = 0.7;
+const LOWER_TIERS_PREFILL_SHARE = 0.15;
 
 /** What decides whether a request of a tier may be granted room. */
 interface RoomRequest {
@@ -21,7 +22,7 @@
   if (prefillAheadMs === 0 || firstTokenBoundMs === undefined) {
     return false;
   }
-  const share = tier === 1 ? 1 : LOWER_TIERS_PREFILL_SHARE;
+  const share = tier === 1 ? TIER_ONE_PREFILL_SHARE : LOWER_TIERS_PREFILL_SHARE;
   return prefillAheadMs > firstTokenBoundMs * share;
 };
 
--- a/packages/side/src/window/updateByReport.ts
+++ b/packages/side/src/window/updateByReport.ts
@@ -8,10 +8,16 @@
 export const updateByReport = (
   window: WindowState,
   { occupancy, nowMs }: WindowObservation,
-  report: { readonly keyValueUsedShare: number; readonly waitingRequests: number },
+  report: {
+    readonly keyValueUsedShare: number;
+    readonly waitingRequests: number;
+    readonly ageMs: number;
+  },
 ): WindowState => {
   const isFull = report.keyValueUsedShare > FULL_KEY_VALUE_SHARE || report.waitingRequests > 0;
-  if (!isFull || occupancy.requests <= 1) {
+  // A report from before the last change tells nothing about the window as it is now.
+  const isStale = nowMs - report.ageMs <= window.changedAtMs;
+  if (!isFull || isStale || occupancy.requests <= 1) {
     return window;
   }
   const share = Math.max(report.keyValueUsedShare, FULL_KEY_VALUE_SHARE);
--- a/packages/side/src/window/updateByTokens.ts
+++ b/packages/side/src/window/updateByTokens.ts
@@ -17,16 +17,18 @@
     ? predictBetweenTokensMs(estimates, 1) * UNBOUNDED_SLOWDOWN
     : betweenTokensBoundMs * BOUND_SHARE;
 
+const areTokensFull = (window: WindowState, { occupancy }: WindowObservation): boolean =>
+  occupancy.tokens >= window.tokens;
+
 const grow = (window: WindowState, observation: WindowObservation): WindowState => {
+  const { nowMs, maximumRequests } = observation;
+  if (areTokensFull(window, observation)) {
+    return { ...window, tokens: window.tokens * TOKEN_GROWTH, changedAtMs: nowMs };
+  }
   const requests = window.isStarting
     ? window.requests * STARTING_GROWTH
     : window.requests + GROWTH_REQUESTS;
-  return {
-    ...window,
-    requests: clamp(requests, 1, observation.maximumRequests),
-    tokens: window.tokens * TOKEN_GROWTH,
-    changedAtMs: observation.nowMs,
-  };
+  return { ...window, requests: clamp(requests, 1, maximumRequests), changedAtMs: nowMs };
 };
 
 const shrink = (window: WindowState, { occupancy, nowMs }: WindowObservation): WindowState => ({
@@ -47,7 +49,8 @@
   if (recentMs > getBoundMs(observation)) {
     return sinceChangeMs < SHRINK_PERIOD_TOKENS * recentMs ? window : shrink(window, observation);
   }
-  const isFull = occupancy.requests >= Math.floor(window.requests);
+  const isFull =
+    occupancy.requests >= Math.floor(window.requests) || areTokensFull(window, observation);
   const isDue = sinceChangeMs >= GROWTH_PERIOD_TOKENS * recentMs;
   return isFull && isDue ? grow(window, observation) : window;
 };
--- a/packages/side/src/window/windowObservation.ts
+++ b/packages/side/src/window/windowObservation.ts
@@ -18,5 +18,6 @@
       readonly type: 'report';
       readonly keyValueUsedShare: number;
       readonly waitingRequests: number;
+      readonly ageMs: number;
     }
 );
--- a/packages/side/tests/sideHarness.ts
+++ b/packages/side/tests/sideHarness.ts
@@ -118,13 +118,17 @@
   }
 
   give(entry: string, id: string, grantId: GrantId): readonly SideToEntryMessage[] {
-    return this.say(entry, {
+    return this.say(entry, this.newGive(id, grantId));
+  }
+
+  newGive(id: string, grantId: GrantId): EntryToSideMessage {
+    return {
       type: 'give',
       grantId,
       requestId: id as RequestId,
       call: { method: 'POST', path: '/', headers: {}, body: new Uint8Array(), isStreaming: true },
       deadlineLeftMs: 60_000,
-    });
+    };
   }
 
   /** Grants sent so far for a request, oldest first. */
