--- a/packages/entry/src/decisions/defaultEntryDecisions.ts
+++ b/packages/entry/src/decisions/defaultEntryDecisions.ts
@@ -17,5 +17,6 @@
   getResumeByte: ({ answer }) => answer.bytesReceived,
   isWholeAnswer: (bytesReceived, totalBytes) => bytesReceived === totalBytes,
   shedsLowerTierFirst: () => true,
+  isDue: (dueAtMs, nowMs) => dueAtMs <= nowMs,
   mayStop: (unfinishedRequests) => unfinishedRequests === 0,
 };
--- a/packages/entry/src/requests/attendDueRequests.ts
+++ b/packages/entry/src/requests/attendDueRequests.ts
@@ -10,7 +10,7 @@
   let current = step;
   for (let count = 0; count < REQUESTS_PER_PASS; count += 1) {
     const first = current.state.due.first();
-    if (first === undefined || first.rank > scope.nowMs) {
+    if (first === undefined || !scope.decisions.isDue(first.rank, scope.nowMs)) {
       break;
     }
     const tracked = current.state.requests.get(first.id);
--- a/packages/entry/src/requests/getArrivalRefusal.ts
+++ b/packages/entry/src/requests/getArrivalRefusal.ts
@@ -3,6 +3,7 @@
 import type { ArrivedRequest } from '../arrivedRequest.js';
 import type { EntryScope } from '../entryScope.js';
 import type { EntryState } from '../entryState.js';
+import { doesLowerTierWait } from '../pools/doesLowerTierWait.js';
 
 /** Why a request is refused on arrival, whatever the load of the targets; undefined when it is not. */
 export const getArrivalRefusal = (
@@ -20,10 +21,13 @@
   if (scope.nowMs >= request.deadlineMs) {
     return 'deadlineExceeded';
   }
+  if (request.tier > preset.lowestTierAdmitted) {
+    return 'shed';
+  }
   const pool = state.pools.get(request.pool);
-  const isHeld = pool !== undefined && scope.nowMs < pool.shedHoldUntilMs;
-  const lowest = isHeld
-    ? Math.min(preset.lowestTierAdmitted, pool.lowestTierAdmitted)
-    : preset.lowestTierAdmitted;
-  return request.tier > lowest ? 'shed' : undefined;
+  const isHeldBack =
+    pool !== undefined &&
+    scope.nowMs < pool.shedHoldUntilMs &&
+    request.tier > pool.lowestTierAdmitted;
+  return isHeldBack && !doesLowerTierWait(state, request) ? 'shed' : undefined;
 };
--- a/packages/entry/src/requests/makeRoom.ts
+++ b/packages/entry/src/requests/makeRoom.ts
@@ -1,15 +1,32 @@
 import type { EntryScope } from '../entryScope.js';
 import type { EntryStep } from '../entryStep.js';
+import { doesLowerTierWait } from '../pools/doesLowerTierWait.js';
 import { findLowerTierVictim } from './findLowerTierVictim.js';
 import { shedRequest } from './shedRequest.js';
 import type { TrackedRequest } from './trackedRequest.js';
 
 const VICTIMS_PER_ARRIVAL = 16;
 
+const OVERFLOW_FACTOR = 4;
+
 const hasRoom = ({ settings }: EntryScope, { state }: EntryStep, bodyBytes: number): boolean =>
   state.waitingCount < settings.maximumWaiting &&
   state.waitingBytes + bodyBytes <= settings.maximumWaitingBytes;
 
+/**
+ * A lower tier that waits at another entry has to be given up first. Until the side processes, which order the work of
+ * all entries, have made that entry do so, this one holds more than it likes to.
+ */
+const hasOverflowRoom = (
+  { settings, decisions }: EntryScope,
+  { state }: EntryStep,
+  { leaving, bodyBytes }: { readonly leaving: TrackedRequest; readonly bodyBytes: number },
+): boolean =>
+  decisions.shedsLowerTierFirst(leaving.request) &&
+  state.waitingCount < OVERFLOW_FACTOR * settings.maximumWaiting &&
+  state.waitingBytes + bodyBytes <= settings.maximumWaitingBytes &&
+  doesLowerTierWait(state, leaving.request);
+
 /** Sheds waiting requests of lower tiers until the entry has room for one more, as far as there are any. */
 export const makeRoom = (
   scope: EntryScope,
@@ -23,6 +40,9 @@
       return { hasRoom: true, step: current };
     }
     const victim = findLowerTierVictim(current.state, tracked);
+    if (hasOverflowRoom(scope, current, { leaving: victim ?? tracked, bodyBytes })) {
+      return { hasRoom: true, step: current };
+    }
     if (victim === undefined) {
       break;
     }
--- a/packages/fuzz/src/oracle/judge.ts
+++ b/packages/fuzz/src/oracle/judge.ts
@@ -7,6 +7,7 @@
 import { checkNonIdempotentAtMostOnce } from './checkNonIdempotentAtMostOnce.js';
 import { checkNotRunIsTrue } from './checkNotRunIsTrue.js';
 import { checkPlannedStops } from './checkPlannedStops.js';
+import { checkRecovered } from './checkRecovered.js';
 import { checkServesWhenCalm } from './checkServesWhenCalm.js';
 import { checkSheddingOrder } from './checkSheddingOrder.js';
 import { checkWholeOwnAnswer } from './checkWholeOwnAnswer.js';
@@ -17,6 +18,7 @@
   checkDispatchedAtMostOnce,
   checkSheddingOrder,
   checkWholeOwnAnswer,
+  checkRecovered,
   checkNotRunIsTrue,
   checkNonIdempotentAtMostOnce,
   checkLeavingTargets,
--- a/packages/fuzz/src/teeth/dispatchFaults.ts
+++ b/packages/fuzz/src/teeth/dispatchFaults.ts
@@ -44,10 +44,16 @@
     kinds: ['killSide'],
     side: { fateOfUnknownGrant: () => 'neverReceived' },
   },
+  {
+    name: 'a burnt grant used',
+    promise: 'dispatchedAtMostOnce',
+    kinds: ['disturbLink'],
+    side: { isGrantUsable: () => true },
+  },
   {
     name: 'a lease not checked after a pause',
-    promise: 'notRunIsTrue',
-    kinds: ['pauseSide', 'pauseEntry'],
+    promise: 'dispatchedAtMostOnce',
+    kinds: ['disturbLink', 'pauseEntry'],
     side: { isGrantUsable: () => true, isGrantLeaseHeld: () => true },
   },
 ];
--- a/packages/fuzz/src/world/createLink.ts
+++ b/packages/fuzz/src/world/createLink.ts
@@ -9,7 +9,8 @@
 const CONNECT_MS = 10;
 const CONNECT_AGAIN_MS = 50;
 const LATE_MS = 300;
-const WAYS = 5;
+/** A stream that is cut often has to carry something in between. */
+const DISTURBED_ONE_IN = [3, 3, 3, 3, 3, 8] as const;
 
 interface Connection {
   isOpen: boolean;
@@ -99,6 +100,17 @@
       forgetAtSide(dropped);
     });
   };
+  const cut: Link['cut'] = ({ forMs, isSilent }) => {
+    blockedUntilMs = Math.max(blockedUntilMs, simulation.getNowMs() + forMs);
+    const wasConnected = connection !== undefined;
+    drop(isSilent);
+    if (wasConnected && !isSilent) {
+      simulation.schedule(1 + getDelay(TRAVEL_MS), () => {
+        tellEntry('sideDisconnected');
+        connectSoon();
+      });
+    }
+  };
   const travel = (sender: Connection, toSide: boolean, deliver: () => void): void => {
     const nowMs = simulation.getNowMs();
     const isDisturbed = nowMs < disturbedUntilMs;
@@ -109,7 +121,9 @@
         deliver();
       }
     };
-    const disturbance = isDisturbed && getDelay(3) === 0 ? 1 + (way % WAYS) : 0;
+    const chosen = Math.min(way, DISTURBED_ONE_IN.length - 1);
+    const isHit = isDisturbed && getDelay(DISTURBED_ONE_IN[chosen] ?? 1) === 0;
+    const disturbance = isHit ? 1 + chosen : 0;
     if (disturbance === 1) {
       simulation.schedule(inOrderAtMs - nowMs + getDelay(LATE_MS), arrive(false));
     }
@@ -117,6 +131,11 @@
       simulation.schedule(1 + getDelay(LATE_MS), arrive(disturbance === 3));
       return;
     }
+    if (disturbance === 6) {
+      simulation.schedule(1 + getDelay(LATE_MS), arrive(true));
+      cut({ forMs: 0, isSilent: false });
+      return;
+    }
     if (disturbance === 4) {
       return;
     }
@@ -168,17 +187,7 @@
         });
       }
     },
-    cut: ({ forMs, isSilent }) => {
-      blockedUntilMs = Math.max(blockedUntilMs, simulation.getNowMs() + forMs);
-      const wasConnected = connection !== undefined;
-      drop(isSilent);
-      if (wasConnected && !isSilent) {
-        simulation.schedule(1 + getDelay(TRAVEL_MS), () => {
-          tellEntry('sideDisconnected');
-          connectSoon();
-        });
-      }
-    },
+    cut,
     disturb: ({ forMs, way: chosen }) => {
       disturbedUntilMs = simulation.getNowMs() + forMs;
       way = chosen;
