--- a/packages/entry/src/decisions/defaultEntryDecisions.ts
+++ b/packages/entry/src/decisions/defaultEntryDecisions.ts
@@ -17,6 +17,7 @@
   getResumeByte: ({ answer }) => answer.bytesReceived,
   isWholeAnswer: (bytesReceived, totalBytes) => bytesReceived === totalBytes,
   shedsLowerTierFirst: () => true,
+  shedsLowerTierElsewhereFirst: () => true,
   isDue: (dueAtMs, nowMs) => dueAtMs <= nowMs,
   mayStop: (unfinishedRequests) => unfinishedRequests === 0,
 };
--- a/packages/entry/src/decisions/entryDecisions.ts
+++ b/packages/entry/src/decisions/entryDecisions.ts
@@ -42,6 +42,8 @@
   readonly isWholeAnswer: (bytesReceived: number, totalBytes: number) => boolean;
   /** True when a lower tier has to be given up before this request is. */
   readonly shedsLowerTierFirst: (request: ArrivedRequest) => boolean;
+  /** True when a lower tier that waits at another entry has to be given up before this request is. */
+  readonly shedsLowerTierElsewhereFirst: (request: ArrivedRequest) => boolean;
   /** True when a request's due time has come: it is tried again or gets its final answer. */
   readonly isDue: (dueAtMs: number, nowMs: number) => boolean;
   /** True when a stopping entry has nothing left to finish. */
--- a/packages/entry/src/requests/getArrivalRefusal.ts
+++ b/packages/entry/src/requests/getArrivalRefusal.ts
@@ -29,5 +29,7 @@
     pool !== undefined &&
     scope.nowMs < pool.shedHoldUntilMs &&
     request.tier > pool.lowestTierAdmitted;
-  return isHeldBack && !doesLowerTierWait(state, request) ? 'shed' : undefined;
+  const isLowerTierFirst =
+    scope.decisions.shedsLowerTierElsewhereFirst(request) && doesLowerTierWait(state, request);
+  return isHeldBack && !isLowerTierFirst ? 'shed' : undefined;
 };
--- a/packages/entry/src/requests/makeRoom.ts
+++ b/packages/entry/src/requests/makeRoom.ts
@@ -22,7 +22,7 @@
   { state }: EntryStep,
   { leaving, bodyBytes }: { readonly leaving: TrackedRequest; readonly bodyBytes: number },
 ): boolean =>
-  decisions.shedsLowerTierFirst(leaving.request) &&
+  decisions.shedsLowerTierElsewhereFirst(leaving.request) &&
   state.waitingCount < OVERFLOW_FACTOR * settings.maximumWaiting &&
   state.waitingBytes + bodyBytes <= settings.maximumWaitingBytes &&
   doesLowerTierWait(state, leaving.request);
