--- a/packages/entry/src/requests/makeRoom.ts
+++ b/packages/entry/src/requests/makeRoom.ts
@@ -39,7 +39,9 @@
     if (hasRoom(scope, current, bodyBytes)) {
       return { hasRoom: true, step: current };
     }
-    const victim = findLowerTierVictim(current.state, tracked);
+    const victim = scope.decisions.shedsLowerTierFirst(tracked.request)
+      ? findLowerTierVictim(current.state, tracked)
+      : undefined;
     if (hasOverflowRoom(scope, current, { leaving: victim ?? tracked, bodyBytes })) {
       return { hasRoom: true, step: current };
     }
--- a/packages/entry/src/requests/replaceRequest.ts
+++ b/packages/entry/src/requests/replaceRequest.ts
@@ -42,13 +42,14 @@
   tracked: TrackedRequest,
   direction: Direction,
 ): EntryState => {
-  if (tracked.phase.type !== 'waiting') {
+  const { phase } = tracked;
+  if (phase.type !== 'waiting' && phase.type !== 'claiming') {
     return state;
   }
   const { pool, requestId } = tracked.request;
   const rank = getWaitingRank(tracked);
   const poolState = state.pools.get(pool) ?? newPoolState();
-  const isUnplaced = tracked.phase.reservedAt.length === 0;
+  const isUnplaced = phase.type === 'waiting' && phase.reservedAt.length === 0;
   const change = (index: typeof poolState.waiting) =>
     direction === 1 ? index.with(rank, requestId) : index.without(rank, requestId);
   const changed = {
