Send the messages of one turn of the event loop in one write

Cause: an engine ends a step of all its running answers at once, and each token went through gRPC by itself. Ruled out: holding messages back for some milliseconds, which every token would pay for. Change: the stream between entry and side process carries batches; an outbox gathers what one turn sends.

--- a/packages/daemon/src/link/createLinkClient.ts
+++ b/packages/daemon/src/link/createLinkClient.ts
@@ -1,14 +1,17 @@
 import { Client, credentials } from '@grpc/grpc-js';
 import type { ClientDuplexStream } from '@grpc/grpc-js';
 import {
+  decodeBatch,
   decodeSideToEntryMessage,
   encodeEntryToSideMessage,
   linkService,
 } from '@parsleyhall/protocol';
 import type { MalformedMessage, SideToEntryMessage } from '@parsleyhall/protocol';
+import { createOutbox } from './createOutbox.js';
 import { getBackoffMs } from './getBackoffMs.js';
 import type { LinkClient } from './linkClient.js';
 import { linkOptions } from './linkOptions.js';
+import type { Outbox } from './outbox.js';
 
 type Stream = ClientDuplexStream<Uint8Array, Uint8Array>;
 
@@ -39,6 +42,7 @@
 }): LinkClient => {
   const client = new Client(address, credentials.createInsecure(), linkOptions(maximumBodyBytes));
   let stream: Stream | undefined;
+  let outbox: Outbox | undefined;
   let isConnected = false;
   let isDisposed = false;
   let failures = 0;
@@ -66,6 +70,16 @@
   const connect = (): void => {
     const opened = openStream(client);
     stream = opened;
+    outbox = createOutbox((batch) => {
+      if (stream === opened) {
+        opened.write(batch);
+      }
+    });
+    const take = (bytes: Uint8Array): void => {
+      if (stream === opened) {
+        decodeSideToEntryMessage(bytes).caseOf({ Left: onMalformed, Right: onMessage });
+      }
+    };
     const lose = (): void => {
       if (stream === opened) {
         dropStream();
@@ -80,9 +94,12 @@
       }
     });
     opened.on('data', (bytes: Uint8Array) => {
-      if (stream === opened) {
-        decodeSideToEntryMessage(bytes).caseOf({ Left: onMalformed, Right: onMessage });
-      }
+      decodeBatch(bytes).caseOf({
+        Left: onMalformed,
+        Right: (messages) => {
+          messages.forEach(take);
+        },
+      });
     });
     opened.on('error', lose);
     opened.on('end', lose);
@@ -92,7 +109,7 @@
   return {
     send: (message) => {
       if (isConnected) {
-        stream?.write(encodeEntryToSideMessage(message));
+        outbox?.push(encodeEntryToSideMessage(message));
       }
     },
     reconnect: () => {
--- a/packages/daemon/src/link/startLinkServer.ts
+++ b/packages/daemon/src/link/startLinkServer.ts
@@ -2,17 +2,26 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js';
 import type { EntryId } from '@parsleyhall/common';
 import {
+  decodeBatch,
   decodeEntryToSideMessage,
   encodeSideToEntryMessage,
   linkService,
 } from '@parsleyhall/protocol';
 import type { EntryToSideMessage, MalformedMessage } from '@parsleyhall/protocol';
 import type { ListenerAddress } from '../process/listenerAddress.js';
+import { createOutbox } from './createOutbox.js';
 import { linkOptions } from './linkOptions.js';
 import type { LinkServer } from './linkServer.js';
+import type { Outbox } from './outbox.js';
 
 type Stream = ServerDuplexStream<Uint8Array, Uint8Array>;
 
+/** An entry's stream, with the messages on their way into it. */
+interface Connection {
+  readonly stream: Stream;
+  readonly outbox: Outbox;
+}
+
 const PORT_SUFFIX = /:\d+$/;
 
 const getPeerAddress = (stream: Stream): string =>
@@ -58,11 +67,11 @@
   readonly onMalformed: (fault: MalformedMessage) => void;
   readonly onRefused: (address: string) => void;
 }): Promise<LinkServer> => {
-  const streams = new Map<EntryId, Stream>();
+  const streams = new Map<EntryId, Connection>();
   const server = new Server(linkOptions(maximumBodyBytes));
 
   const drop = (entry: EntryId, stream: Stream): void => {
-    if (streams.get(entry) === stream) {
+    if (streams.get(entry)?.stream === stream) {
       streams.delete(entry);
       onDisconnected(entry);
     }
@@ -71,10 +80,15 @@
   const admit = (entry: EntryId, stream: Stream): void => {
     const earlier = streams.get(entry);
     if (earlier !== undefined) {
-      drop(entry, earlier);
-      earlier.end();
+      drop(entry, earlier.stream);
+      earlier.stream.end();
     }
-    streams.set(entry, stream);
+    const outbox = createOutbox((batch) => {
+      if (streams.get(entry)?.stream === stream) {
+        stream.write(batch);
+      }
+    });
+    streams.set(entry, { stream, outbox });
     onConnected(entry);
   };
 
@@ -94,7 +108,7 @@
         takeFirst(message);
         return;
       }
-      if (streams.get(entry) === stream) {
+      if (streams.get(entry)?.stream === stream) {
         onMessage(entry, message);
       }
     };
@@ -104,7 +118,14 @@
       }
     };
     stream.on('data', (bytes: Uint8Array) => {
-      decodeEntryToSideMessage(bytes).caseOf({ Left: onMalformed, Right: take });
+      decodeBatch(bytes).caseOf({
+        Left: onMalformed,
+        Right: (messages) => {
+          for (const message of messages) {
+            decodeEntryToSideMessage(message).caseOf({ Left: onMalformed, Right: take });
+          }
+        },
+      });
     });
     stream.on('error', lose);
     stream.on('cancelled', lose);
@@ -132,13 +153,14 @@
   return {
     address,
     send: (entry, message) => {
-      streams.get(entry)?.write(encodeSideToEntryMessage(message));
+      streams.get(entry)?.outbox.push(encodeSideToEntryMessage(message));
     },
     close: (entry) => {
-      const stream = streams.get(entry);
-      if (stream !== undefined) {
-        drop(entry, stream);
-        stream.end();
+      const connection = streams.get(entry);
+      if (connection !== undefined) {
+        connection.outbox.flush();
+        drop(entry, connection.stream);
+        connection.stream.end();
       }
     },
     [Symbol.asyncDispose]: () => {
--- a/packages/protocol/src/codec/codec.test.ts
+++ b/packages/protocol/src/codec/codec.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, test } from 'vitest';
 import fc from 'fast-check';
 import { EMPTY_CONFIGURATION } from '@parsleyhall/configuration';
+import { decodeBatch } from './decodeBatch.js';
+import { encodeBatch } from './encodeBatch.js';
 import { decodeEntryToSideMessage } from './decodeEntryToSideMessage.js';
 import { decodeSideToEntryMessage } from './decodeSideToEntryMessage.js';
 import { encodeEntryToSideMessage } from './encodeEntryToSideMessage.js';
@@ -219,3 +221,14 @@
     expect(refusedReason.extract()).toMatchObject({ reason: 'invalid', fields: ['reason'] });
   });
 });
+
+test('a batch keeps its messages and their order, and whatever bytes come in its place are a typed error or a batch', () => {
+  fc.assert(
+    fc.property(fc.array(fc.uint8Array({ maxLength: 64 })), bytes, (messages, noise) => {
+      const decoded = decodeBatch(encodeBatch(messages)).orDefault([]);
+      expect(decoded.map((part) => [...part])).toEqual(messages.map((part) => [...part]));
+      expect(() => decodeBatch(noise)).not.toThrow();
+    }),
+    RUNS,
+  );
+});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,6 +7,8 @@
 export type { SideDigest } from './sideDigest.js';
 export type { SideToEntryMessage } from './sideToEntryMessage.js';
 export type { TargetCall } from './targetCall.js';
+export { decodeBatch } from './codec/decodeBatch.js';
+export { encodeBatch } from './codec/encodeBatch.js';
 export { decodeEntryToSideMessage } from './codec/decodeEntryToSideMessage.js';
 export { decodeSideToEntryMessage } from './codec/decodeSideToEntryMessage.js';
 export { encodeEntryToSideMessage } from './codec/encodeEntryToSideMessage.js';
