--- a/packages/operator/src/report/burnRow.ts
+++ b/packages/operator/src/report/burnRow.ts
@@ -5,7 +5,7 @@
   readonly tier: Tier;
   /** Absent for all teams of the tier together. */
   readonly team?: string | undefined;
-  /** Requests that count against the objective: all but those refused for a fault on the caller's side. */
+  /** Requests that count against the objective: all but those over their team's limit. */
   readonly counted: number;
   readonly inTime: number;
   readonly late: number;
@@ -13,7 +13,7 @@
   readonly deadlineExceeded: number;
   readonly outcomeUnknown: number;
   readonly failed: number;
-  /** Over a limit of their team, or with an idempotency key used wrongly. */
+  /** Refused by a limit of their team. */
   readonly notCounted: number;
   readonly objective: number;
   readonly achieved: number;
--- a/packages/operator/src/report/computeBurnRow.ts
+++ b/packages/operator/src/report/computeBurnRow.ts
@@ -5,8 +5,8 @@
 import type { BurnSample } from './burnSample.js';
 
 const TOKENS_PER_PRICE = 1_000_000;
-// Refusals that the caller's side brought about: a team over its limit, an idempotency key used wrongly.
-const NOT_COUNTED_REASONS = ['teamLimit', 'otherRequest', 'tooOld', 'malformed'];
+// Entries leave out callers' other mistakes; a team over its limit is told apart here.
+const NOT_COUNTED_REASON = 'teamLimit';
 const BUCKET_BITS = 64;
 const HISTOGRAM_DIGITS = 2;
 const LONGEST_FIRST_TOKEN_MS = 86_400_000;
@@ -19,8 +19,7 @@
 const sumFields = (fields: Readonly<Record<string, number>>): number =>
   Object.values(fields).reduce((total, value) => total + value, 0);
 
-const getNotCounted: Value = ({ row }) =>
-  NOT_COUNTED_REASONS.reduce((total, reason) => total + (row.notRunByReason[reason] ?? 0), 0);
+const getNotCounted: Value = ({ row }) => row.notRunByReason[NOT_COUNTED_REASON] ?? 0;
 
 const getCounted: Value = (sample) => sample.row.sent - getNotCounted(sample);
 
