Make the plain policies hold nothing back and switch decisions off by name

Cause: the plain policies still predicted deadlines and shed like the product, which is no plain proxy; a killed measure run left its processes behind.

--- a/packages/bench/src/cluster/startProcess.ts
+++ b/packages/bench/src/cluster/startProcess.ts
@@ -30,6 +30,11 @@
   const log = createWriteStream(plan.logFile, { flags: 'a' });
   child.stderr.pipe(log, { end: false });
   const exited = once(child, 'exit');
+  const killWithThis = (): void => {
+    child.kill('SIGKILL');
+  };
+  process.once('exit', killWithThis);
+  child.once('exit', () => process.off('exit', killWithThis));
 
   const end = async (
     signal: 'SIGTERM' | 'SIGKILL',
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { parseArgs } from 'node:util';
 import { v7 } from 'uuid';
+import { exitOnSignals } from '../cluster/exitOnSignals.js';
 import { publishDocument } from '../cluster/publishDocument.js';
 import { runOperator } from '../cluster/runOperator.js';
 import { startCluster } from '../cluster/startCluster.js';
@@ -26,6 +27,7 @@
   process.stdout.write(`${text}\n`);
 };
 
+exitOnSignals();
 const { values } = parseArgs({ options: { keep: { type: 'boolean', default: false } } });
 const [deployment] = DEMO_DEPLOYMENTS;
 const servicePool = deployment?.servicePool ?? '';
@@ -68,5 +70,6 @@
 if (values.keep) {
   printCurlLines(cluster, deployment?.model ?? '', servicePool);
   print('it stays up until interrupted');
+  process.removeAllListeners('SIGINT');
   await once(process, 'SIGINT');
 }
--- a/packages/bench/src/measure/main.ts
+++ b/packages/bench/src/measure/main.ts
@@ -1,9 +1,12 @@
 import sade from 'sade';
+import { exitOnSignals } from '../cluster/exitOnSignals.js';
 import { measure } from './measure.js';
 import { parseOptions } from './parseOptions.js';
 
 const BAD_USE_EXIT_CODE = 2;
 
+exitOnSignals();
+
 const readOptions = (given: unknown) => {
   try {
     return parseOptions(given);
@@ -24,6 +27,7 @@
     'late-binding',
   )
   .option('--against', 'The other policy, or none', 'two-choices')
+  .option('--without', 'Decisions that late binding does without, with commas between', '')
   .option('--seed', 'Seed of the arrivals', 1)
   .option('--seconds', 'Length of the arrivals', 14)
   .option('--scale', 'Engine milliseconds in a millisecond', 1)
--- a/packages/bench/src/measure/measure.ts
+++ b/packages/bench/src/measure/measure.ts
@@ -22,14 +22,14 @@
 
 /** Measures the policies one after the other on the same arrivals and prints the tables. */
 export const measure = async (options: MeasureOptions): Promise<void> => {
-  const { deployment, load, durationMs, timeScale, seed, fault } = options;
+  const { deployment, load, durationMs, timeScale, seed, fault, without } = options;
   const { from, until, burstFactor } = FAULT_TIMES;
   const factor = fault === 'burst' ? burstFactor : 1;
   const burst = { from, until, factor };
   const calls = drawSchedule({ deployment, load, durationMs, timeScale, seed, burst });
   const commit = await getCommit();
   print(
-    `${deployment.name}, load ${load}, fault ${fault}, seed ${seed}, ${durationMs} ms of arrivals at ${timeScale} engine ms a ms, ${calls.length} calls, commit ${commit}`,
+    `${deployment.name}, load ${load}, fault ${fault}${without === '' ? '' : `, without ${without}`}, seed ${seed}, ${durationMs} ms of arrivals at ${timeScale} engine ms a ms, ${calls.length} calls, commit ${commit}`,
   );
   const results: PolicyResult[] = [];
   for (const policy of options.policies) {
@@ -50,7 +50,7 @@
   }
   if (options.jsonFile !== undefined) {
     const { name } = deployment;
-    const setting = { deployment: name, load, fault, seed, durationMs, timeScale, commit };
+    const setting = { deployment: name, load, without, fault, seed, durationMs, timeScale, commit };
     const document = { setting, results, bounds };
     await writeFile(options.jsonFile, `${JSON.stringify(document, null, 2)}\n`);
   }
--- a/packages/bench/src/measure/measureOptions.ts
+++ b/packages/bench/src/measure/measureOptions.ts
@@ -9,6 +9,8 @@
   readonly fault: FaultName;
   /** Policies to run one after the other on the same arrivals. */
   readonly policies: readonly PolicyName[];
+  /** Decisions that late binding does without, with commas between. */
+  readonly without: string;
   readonly seed: number;
   /** Length of the arrivals of one run, in wall milliseconds. */
   readonly durationMs: number;
--- a/packages/bench/src/measure/newMeasurePlan.ts
+++ b/packages/bench/src/measure/newMeasurePlan.ts
@@ -47,7 +47,7 @@
     callerDelayMs: deployment.callerDelayMs,
     daemon: {
       script: getScript('@parsleyhall/bench', 'measure/daemonMain.js'),
-      arguments: [policy],
+      arguments: [policy, options.without],
     },
     entrySettings: { logLevel: LOG_LEVEL, ...options.entrySettings },
     sideSettings: { logLevel: LOG_LEVEL, ...sideDefaults, ...options.sideSettings },
--- a/packages/bench/src/policies/getPlainDecisions.ts
+++ b/packages/bench/src/policies/getPlainDecisions.ts
@@ -11,6 +11,14 @@
   readonly side: Partial<SideDecisions>;
 }
 
+// A plain proxy holds nothing back: it predicts no deadline, sheds nothing and sends all it gets to its target.
+const UNGUARDED: Partial<SideDecisions> = {
+  hasRoom: () => true,
+  allowsLongPrefill: () => true,
+  predictsInTime: () => true,
+  isOverloaded: () => false,
+};
+
 const getPlacement = (policy: PolicyName): EntryDecisions['choosePlacement'] | undefined => {
   switch (policy) {
     case 'late-binding':
@@ -31,5 +39,5 @@
   const choosePlacement = getPlacement(policy);
   return choosePlacement === undefined
     ? { entry: {}, side: {} }
-    : { entry: { choosePlacement }, side: { hasRoom: () => true } };
+    : { entry: { choosePlacement }, side: UNGUARDED };
 };
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -1,5 +1,6 @@
 import { writeFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
+import { exitOnSignals } from '../cluster/exitOnSignals.js';
 import { getCommit } from '../measure/getCommit.js';
 import { formatTable } from '../report/formatTable.js';
 import type { HeapSlope } from './heapSlope.js';
@@ -19,6 +20,7 @@
 const ROLES = ['entry', 'side'] as const;
 const DIMENSIONS = ['waiting', 'peers', 'teams'] as const;
 
+exitOnSignals();
 const { values } = parseArgs({
   options: {
     json: { type: 'string', default: '' },
