--- a/packages/side/src/configuration/syncConfiguration.ts
+++ b/packages/side/src/configuration/syncConfiguration.ts
@@ -1,7 +1,6 @@
 import type { EntryId } from '@parsleyhall/common';
 import type { SideState } from '../sideState.js';
 import type { SideStep } from '../step/sideStep.js';
-import { updatePeer } from '../peers/updatePeer.js';
 import { newStep } from '../step/newStep.js';
 import { sendToEntry } from '../step/sendToEntry.js';
 
@@ -12,8 +11,7 @@
   configurationVersion: number,
 ): SideStep => {
   const { configuration } = state;
-  const next = updatePeer(state, entry, (peer) => ({ ...peer, configurationVersion }));
   return configurationVersion < configuration.version
-    ? newStep(next, sendToEntry(entry, { type: 'configuration', configuration }))
-    : newStep(next);
+    ? newStep(state, sendToEntry(entry, { type: 'configuration', configuration }))
+    : newStep(state);
 };
--- a/packages/side/src/peers/connectPeer.ts
+++ b/packages/side/src/peers/connectPeer.ts
@@ -13,7 +13,6 @@
   incarnation: undefined,
   formerIncarnation: undefined,
   lastHeardMs,
-  configurationVersion: 0,
   reservations: Set(),
   grants: Set(),
 });
--- a/packages/side/src/peers/peer.ts
+++ b/packages/side/src/peers/peer.ts
@@ -8,7 +8,6 @@
   readonly incarnation: Incarnation | undefined;
   readonly formerIncarnation: Incarnation | undefined;
   readonly lastHeardMs: number;
-  readonly configurationVersion: number;
   readonly reservations: Set<RequestId>;
   readonly grants: Set<GrantId>;
 }
--- a/packages/side/src/queue/chargeTeam.ts
+++ b/packages/side/src/queue/chargeTeam.ts
@@ -5,15 +5,14 @@
 import { updateTier } from './updateTier.js';
 
 const forgetSpentTags = (tierQueue: TierQueue): TierQueue => {
-  const first = tierQueue.idleTeams.first();
-  if (first === undefined || first.rank > tierQueue.virtualTime) {
-    return tierQueue;
+  let { tags, idleTeams } = tierQueue;
+  let first = idleTeams.first();
+  while (first !== undefined && first.rank <= tierQueue.virtualTime) {
+    tags = tags.remove(first.id);
+    idleTeams = idleTeams.without(first.rank, first.id);
+    first = idleTeams.first();
   }
-  return forgetSpentTags({
-    ...tierQueue,
-    tags: tierQueue.tags.remove(first.id),
-    idleTeams: tierQueue.idleTeams.without(first.rank, first.id),
-  });
+  return idleTeams === tierQueue.idleTeams ? tierQueue : { ...tierQueue, tags, idleTeams };
 };
 
 /** The queue after a request of the team was served; the cost is in tokens over the team's weight. */
--- a/packages/side/src/queue/newWaiting.ts
+++ b/packages/side/src/queue/newWaiting.ts
@@ -19,14 +19,12 @@
   const work = newWork(reservation, settings.longPrefillTokens);
   const deadlineMs = nowMs + reservation.deadlineLeftMs;
   const raisedMs = decisions.raisePrediction(predictOnIdle(context, state, work));
-  const { firstTokenLeftMs } = reservation;
   return {
     requestId: reservation.requestId,
     entry,
     work,
     arrivedAtMs: nowMs,
     deadlineMs,
-    firstTokenByMs: firstTokenLeftMs === undefined ? undefined : nowMs + firstTokenLeftMs,
     latestStartMs: Math.floor(deadlineMs - raisedMs),
     tokens: work.prefillTokens + estimateDecodeTokens(state.estimates, work),
     workMs: estimateWorkMs(context, state, work),
--- a/packages/side/src/queue/waitingReservation.ts
+++ b/packages/side/src/queue/waitingReservation.ts
@@ -8,7 +8,6 @@
   readonly work: Work;
   readonly arrivedAtMs: number;
   readonly deadlineMs: number;
-  readonly firstTokenByMs: number | undefined;
   /** Time by which it would have to start on an idle target to end in time, as estimated on arrival. */
   readonly latestStartMs: number;
   /** Tokens of the target's work that it stands for, as estimated on arrival. */
--- a/packages/side/src/runs/answerFate.ts
+++ b/packages/side/src/runs/answerFate.ts
@@ -61,7 +61,6 @@
     isStreaming: false,
     phase: 'resuming',
     startedAtMs: context.nowMs,
-    deadlineMs: context.nowMs + context.settings.answerRetentionMs,
     prefillTokensAhead: 0,
     predictedFirstTokenMs: 0,
     predictedFinishMs: 0,
--- a/packages/side/src/runs/run.ts
+++ b/packages/side/src/runs/run.ts
@@ -16,7 +16,6 @@
   /** Resuming until the target has said that it knows the request. */
   readonly phase: 'resuming' | 'running' | 'done' | 'failed' | 'cancelled';
   readonly startedAtMs: number;
-  readonly deadlineMs: number;
   /** Prefill tokens of others whose first token was outstanding at the start. */
   readonly prefillTokensAhead: number;
   /** Predicted durations at the start, in milliseconds. */
--- a/packages/side/src/runs/useGrant.ts
+++ b/packages/side/src/runs/useGrant.ts
@@ -33,7 +33,6 @@
     isStreaming: give.call.isStreaming,
     phase: 'running',
     startedAtMs: context.nowMs,
-    deadlineMs: context.nowMs + give.deadlineLeftMs,
     prefillTokensAhead: state.occupancy.prefillTokensAhead - work.prefillTokens,
     predictedFirstTokenMs: prediction.firstTokenMs,
     predictedFinishMs: prediction.finishMs,
--- a/packages/side/tests/lateBinding.test.ts
+++ b/packages/side/tests/lateBinding.test.ts
@@ -101,3 +101,32 @@
   side.say('entry-1', { type: 'acknowledgeEnd', grantId, requestId });
   expect(side.effects.at(-1)).toEqual({ type: 'stopped' });
 });
+
+test('tens of thousands of waiting reservations are handed back in one event', () => {
+  const waiting = 20_000;
+  const side = new SideHarness({ initialWindowRequests: 1, maximumWaiting: waiting });
+  side.start('entry-1');
+  for (let index = 0; index <= waiting; index += 1) {
+    side.reserve('entry-1', `r${index}`, { deadlineLeftMs: 1_000_000 });
+  }
+  const handBacks = side.apply({ type: 'stopRequested' }).flatMap((effect) => {
+    const message = effect.type === 'sendToEntry' ? effect.message : undefined;
+    return message?.type === 'handBack' ? [message.requestId] : [];
+  });
+  expect(new Set(handBacks).size).toBe(waiting + 1);
+  expect(side.effects.at(-1)).toEqual({ type: 'stopped' });
+});
+
+test('of a full queue the lowest tier gives way and stays closed until the load has fallen', () => {
+  const side = new SideHarness({ initialWindowRequests: 1, maximumWaiting: 2 }).start('entry-1');
+  side.reserve('entry-1', 'running', { tier: 1 });
+  run(side, 'running');
+  side.reserve('entry-1', 'low', { tier: 4 });
+  side.reserve('entry-1', 'middle', { tier: 3 });
+  const full = side.reserve('entry-1', 'high', { tier: 1 });
+  expect(full).toMatchObject([{ type: 'handBack', requestId: 'low', reason: 'queueFull' }]);
+  side.reserve('entry-1', 'higher', { tier: 1 });
+  const closed = side.reserve('entry-1', 'late', { tier: 4 });
+  expect(closed).toMatchObject([{ type: 'handBack', requestId: 'late', reason: 'shed' }]);
+  expect([...side.state.queue.byRequest.keys()].sort()).toEqual(['high', 'higher']);
+});
