Fix the number of key partitions in the code and keep running keys from being freed

Cause: the number of partitions was a setting of each entry: two entries that differed would have claimed one key in two streams, and it would have run twice. And key settle freed a key whose run might still be going on. Ruled out: the number in the configuration document (a change would move keys under running claims). The test that expected the setting's default expects another default in its place, since the setting is gone. Before and after: the new checks in keys.test.ts fail on the old command and pass now.

--- a/packages/daemon/src/entryShell/newEntrySettings.ts
+++ b/packages/daemon/src/entryShell/newEntrySettings.ts
@@ -1,4 +1,5 @@
 import type { EntryId, Incarnation } from '@parsleyhall/common';
+import { KEY_PARTITIONS } from '@parsleyhall/entry';
 import type { EntrySettings } from '@parsleyhall/entry';
 import type { EntrySettingsFile } from '../settings/entrySettingsFile.js';
 
@@ -18,7 +19,7 @@
   ...(file.sidesPerPool === undefined ? {} : { sidesPerPool: file.sidesPerPool }),
   maximumWaiting: file.maximumWaiting,
   maximumWaitingBytes: file.maximumWaitingBytes,
-  keyPartitions: file.keyPartitions,
+  keyPartitions: KEY_PARTITIONS,
   logRetentionMs: file.logRetentionMs,
   clockToleranceMs: file.clockToleranceMs,
   longPrefillTokens: file.longPrefillTokens,
--- a/packages/daemon/src/entryShell/startEntry.ts
+++ b/packages/daemon/src/entryShell/startEntry.ts
@@ -2,7 +2,7 @@
 import type { Incarnation, RequestId } from '@parsleyhall/common';
 import { EMPTY_CONFIGURATION } from '@parsleyhall/configuration';
 import type { ConfigurationState } from '@parsleyhall/configuration';
-import { createEntryReducer } from '@parsleyhall/entry';
+import { createEntryReducer, KEY_PARTITIONS } from '@parsleyhall/entry';
 import type { EntryEffect, EntryEvent, EntryState } from '@parsleyhall/entry';
 import { createHostListClient, createLogClient } from '@parsleyhall/platform';
 import type { LogFailure } from '@parsleyhall/platform';
@@ -108,7 +108,7 @@
 
   const keyLog = startKeyLog({
     client: logClient,
-    partitions: file.keyPartitions,
+    partitions: KEY_PARTITIONS,
     onEvent: dispatch,
     onFailure: noteLogFailure,
     onRefused: (records, failure) => {
--- a/packages/daemon/src/settings/checkSettings.test.ts
+++ b/packages/daemon/src/settings/checkSettings.test.ts
@@ -32,7 +32,11 @@
 
 test('a whole file passes with the defaults filled in', () => {
   const entry = checkSettings(entrySettingsFileSchema, JSON.stringify(SHARED)).unsafeCoerce();
-  expect(entry).toMatchObject({ heartbeatMs: 500, peerTimeoutMs: 2_500, keyPartitions: 4 });
+  expect(entry).toMatchObject({
+    heartbeatMs: 500,
+    peerTimeoutMs: 2_500,
+    reservationsPerRequest: 8,
+  });
   const side = checkSettings(
     sideSettingsFileSchema,
     JSON.stringify({ ...SHARED, target: TARGET }),
--- a/packages/daemon/src/settings/entrySettingsFileSchema.ts
+++ b/packages/daemon/src/settings/entrySettingsFileSchema.ts
@@ -17,12 +17,6 @@
     .describe('Side processes of a pool that the entry connects to; all without it'),
   maximumWaiting: count.default(10_000).describe('Requests that may wait at once'),
   maximumWaitingBytes: count.default(134_217_728).describe('Bytes of bodies that may wait at once'),
-  keyPartitions: z
-    .int()
-    .min(1)
-    .max(64)
-    .default(4)
-    .describe('Streams of the log that idempotency keys are split over; the same at every entry'),
   clockToleranceMs: milliseconds
     .default(2_000)
     .describe("Largest difference between two hosts' wall clocks"),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -13,6 +13,7 @@
 export type { KeyRecord } from './keys/keyRecord.js';
 export { EMPTY_KEY_STATE } from './keys/emptyKeyState.js';
 export { getKeyStream } from './keys/getKeyStream.js';
+export { KEY_PARTITIONS } from './keys/keyPartitions.js';
 export { getKeyTimeMs } from './keys/getKeyTimeMs.js';
 export { keyRecordSchema } from './keys/keyRecordSchema.js';
 export type { KeyState } from './keys/keyState.js';
--- a/packages/operator/src/commandLine/commandOptions.ts
+++ b/packages/operator/src/commandLine/commandOptions.ts
@@ -4,6 +4,7 @@
   readonly json: boolean;
   readonly as?: string;
   readonly watch: boolean;
+  readonly 'owner-gone'?: boolean;
   readonly html?: string;
   readonly long?: string;
   readonly short?: string;
--- a/packages/operator/src/commandLine/parseCommandLine.ts
+++ b/packages/operator/src/commandLine/parseCommandLine.ts
@@ -91,11 +91,17 @@
     .command('key settle <key>')
     .describe('Record the outcome that you found out of a run whose outcome was unknown.')
     .option('--as', 'The outcome: not-run or done')
+    .option('--owner-gone', 'Settle a key that still counts as running: its entry is gone for good')
     .example(
       'key settle 0190b3a2-7c1e-7f00-8a11-2b3c4d5e6f70 --as not-run --settings operator.json',
     )
     .action((key: string, options: CommandOptions) =>
-      newSessionCommand(options, (session) => settleKey(session, key, options.as)),
+      newSessionCommand(options, (session) =>
+        settleKey(session, key, {
+          outcome: options.as,
+          isOwnerGone: options['owner-gone'] ?? false,
+        }),
+      ),
     );
 
 const addStatusCommands = (program: sade.Sade): sade.Sade =>
@@ -151,7 +157,7 @@
   program.parse(['', '', ...programArguments], {
     lazy: true,
     string: ['settings', 'as', 'html', 'long', 'short'],
-    boolean: ['json', 'watch'],
+    boolean: ['json', 'watch', 'owner-gone'],
     unknown: (flag) => `Unknown option: ${flag}`,
   });
 
--- a/packages/operator/src/failure/formatFailure.ts
+++ b/packages/operator/src/failure/formatFailure.ts
@@ -81,6 +81,8 @@
       return `Refused: ${formatVerdict(failure.verdict)}`;
     case 'outcomeUnsettled':
       return `The log's answer was lost and the change (publication ${failure.publicationId}) has not shown yet. It may still come into force, but only while version ${failure.base} is the current one. Look by: parsleyhall configuration show.`;
+    case 'keyRunning':
+      return `Key ${failure.key} counts as running: its entry may still answer. When that entry is gone for good and you know what became of the run, add --owner-gone.`;
     case 'keySettled':
       return `Key ${failure.key} is ${failure.condition}: there is nothing to settle.`;
     case 'noReport':
--- a/packages/operator/src/failure/operatorFailure.ts
+++ b/packages/operator/src/failure/operatorFailure.ts
@@ -29,6 +29,8 @@
   | { readonly type: 'refused'; readonly verdict: ConfigurationVerdict }
   /** The answer to the append was lost and the record has not shown since; it still may. */
   | { readonly type: 'outcomeUnsettled'; readonly publicationId: string; readonly base: number }
+  /** The key's run may still be going on. */
+  | { readonly type: 'keyRunning'; readonly key: string }
   /** The key has no run whose outcome is open. */
   | { readonly type: 'keySettled'; readonly key: string; readonly condition: string }
   | { readonly type: 'noReport'; readonly detail: string };
--- a/packages/operator/src/key/readKey.ts
+++ b/packages/operator/src/key/readKey.ts
@@ -1,6 +1,7 @@
 import { EitherAsync } from 'purify-ts';
 import {
   EMPTY_KEY_STATE,
+  KEY_PARTITIONS,
   foldKeyRecord,
   getKeyPartition,
   getKeyStream,
@@ -25,11 +26,11 @@
 
 /** Reads what the log still has of an idempotency key, up to the end of its partition as of now. */
 export const readKey = (
-  { log, settings }: Pick<OperatorSession, 'log' | 'settings'>,
+  { log }: Pick<OperatorSession, 'log'>,
   key: string,
 ): EitherAsync<OperatorFailure, KeyReading> =>
   EitherAsync(async (steps) => {
-    const partition = getKeyPartition(key, settings.keyPartitions);
+    const partition = getKeyPartition(key, KEY_PARTITIONS);
     const stream = getKeyStream(partition);
     let reading: KeyReading = { key, partition, state: EMPTY_KEY_STATE };
     let from = 1;
--- a/packages/operator/src/key/settleKey.ts
+++ b/packages/operator/src/key/settleKey.ts
@@ -23,12 +23,13 @@
 
 /**
  * Records the outcome that an operator found out of a run whose outcome was unknown. `not-run` frees the key; `done` keeps
- * it taken, and repeats are told that the run is done and its answer was not kept.
+ * it taken, and repeats are told that the run is done and its answer was not kept. A key that counts as running is settled
+ * only when the operator says that its owner is gone: freeing it under a live run could have it run twice.
  */
 export const settleKey = (
   session: OperatorSession,
   key: string,
-  outcome: string | undefined,
+  { outcome, isOwnerGone }: { readonly outcome: string | undefined; readonly isOwnerGone: boolean },
 ): EitherAsync<OperatorFailure, CommandOutput> =>
   EitherAsync(async (steps) => {
     if (!isOutcome(outcome)) {
@@ -39,7 +40,10 @@
     }
     const { state, partition } = await steps.fromPromise(readKey(session, key));
     const condition = getKeyCondition(state);
-    if (state.owner === undefined || (condition !== 'unknown' && condition !== 'running')) {
+    if (condition === 'running' && !isOwnerGone) {
+      return steps.throwE({ type: 'keyRunning', key });
+    }
+    if (state.owner === undefined || condition === 'done') {
       return steps.throwE({ type: 'keySettled', key, condition });
     }
     const record = newRecord(key, state.owner.attempt, outcome);
--- a/packages/operator/src/settings/operatorSettings.ts
+++ b/packages/operator/src/settings/operatorSettings.ts
@@ -4,5 +4,4 @@
   readonly hostList: { readonly address: string };
   /** Who the operator is; other operators are told when this one wins a race. */
   readonly operator: string;
-  readonly keyPartitions: number;
 }
--- a/packages/operator/src/settings/operatorSettingsSchema.ts
+++ b/packages/operator/src/settings/operatorSettingsSchema.ts
@@ -20,11 +20,6 @@
 export const operatorSettingsSchema: z.ZodType<OperatorSettings> = z.strictObject({
   log: z.strictObject({ address }).describe("The platform's log service"),
   hostList: z.strictObject({ address }).describe("The platform's list of hosts"),
-  keyPartitions: z
-    .int()
-    .positive()
-    .default(4)
-    .describe('Partitions of the idempotency keys, as in the settings of the entries'),
   operator: z
     .string()
     .min(1)
--- a/packages/operator/tests/keys.test.ts
+++ b/packages/operator/tests/keys.test.ts
@@ -21,6 +21,9 @@
   const owned = { key: KEY, attempt: 'a#1' };
   await append(log, { type: 'start', ...owned, requestFingerprint: 'f' });
   expect(await hoda.runJson(`key show ${KEY}`)).toMatchObject({ condition: 'running' });
+  const running = await hoda.run(`key settle ${KEY} --as not-run`);
+  expect(running).toMatchObject({ exitCode: 1 });
+  expect(running.errors).toContain('--owner-gone');
   await append(log, { type: 'unknown', ...owned });
   expect(await hoda.runJson(`key show ${KEY}`)).toMatchObject({ condition: 'unknown' });
   expect(await hoda.run(`key settle ${KEY}`)).toMatchObject({ exitCode: 2 });
@@ -39,3 +42,11 @@
   expect(await hoda.runJson(`key settle ${KEY} --as done`)).toMatchObject({ condition: 'done' });
   expect(await hoda.run(`key settle ${KEY} --as not-run`)).toMatchObject({ exitCode: 1 });
 });
+
+test('a run whose entry is gone for good is settled only when the operator says so', async () => {
+  const log = createMemoryLog();
+  const hoda = createTestOperator({ log: log.client, name: 'hoda' });
+  await append(log, { type: 'start', key: KEY, attempt: 'a#1', requestFingerprint: 'f' });
+  const settled = await hoda.runJson(`key settle ${KEY} --as not-run --owner-gone`);
+  expect(settled).toMatchObject({ condition: 'free' });
+});
