Share the notes on faults between entry and side process

Cause: both shells held the same log lines and counters, and their start functions had grown. Change: one module of notes; a malformed message names its peer at both ends.

--- a/packages/daemon/src/entryShell/startEntry.ts
+++ b/packages/daemon/src/entryShell/startEntry.ts
@@ -17,6 +17,7 @@
 import { pollHostList } from '../platformReaders/pollHostList.js';
 import { startConfigurationFollower } from '../platformReaders/startConfigurationFollower.js';
 import { closeHttp } from '../process/closeHttp.js';
+import { createFaultNotes } from '../process/createFaultNotes.js';
 import { createLatch } from '../process/createLatch.js';
 import { drainHttp } from '../process/drainHttp.js';
 import { createDisposalStack } from '../process/createDisposalStack.js';
@@ -53,18 +54,16 @@
   const account = createReportAccount();
   const stopping = createLatch();
   let configuration: ConfigurationState = EMPTY_CONFIGURATION;
+  const notes = createFaultNotes(metrics, logger);
   registerProcessGauges(metrics);
 
   const dispatch = (body: EntryEventBody): void => {
     loop.dispatch(body);
   };
   const noteLogFailure = (failure: LogFailure): void => {
-    if (failure.type === 'aborted') {
-      return;
+    if (notes.noteLogFailure(failure)) {
+      dispatch({ type: 'logFailed' });
     }
-    metrics.increment('log_failures_total', { type: failure.type });
-    logger.warn({ event: 'logFailed', failure }, 'the log gave no answer');
-    dispatch({ type: 'logFailed' });
   };
 
   const logClient = parts.use(createLogClient(file.log));
@@ -101,8 +100,7 @@
       dispatch({ type: 'sideDisconnected', side });
     },
     onMalformed: (side, fault) => {
-      metrics.increment('malformed_messages_total');
-      logger.warn({ event: 'malformedMessage', side, fault }, 'a peer sent no message');
+      notes.noteMalformed(fault, side);
     },
   });
 
@@ -127,8 +125,7 @@
     putInForce: (inForce: ConfigurationState): void => {
       configuration = inForce;
       follower.adopt(inForce);
-      const { version, presetInForce } = inForce;
-      logger.info({ event: 'configurationInForce', version, presetInForce }, 'in force');
+      notes.noteInForce(inForce);
     },
     finishStop: stopping.open,
   };
@@ -144,8 +141,7 @@
       runEntryEffect(effectParts, effect);
     },
     toFailureEvent: (effect, error) => {
-      metrics.increment('effect_failures_total', { type: effect.type });
-      logger.error({ event: 'effectFailed', type: effect.type, err: error }, 'effect failed');
+      notes.noteEffectFailure(effect.type, error);
       return toEntryFailureEvent(effect);
     },
   });
@@ -161,9 +157,7 @@
     onConfiguration: (folded) => {
       dispatch({ type: 'configurationFolded', configuration: folded });
     },
-    onVerdict: (verdict) => {
-      logger.debug({ event: 'configurationVerdict', ...verdict }, 'configuration record');
-    },
+    onVerdict: notes.noteVerdict,
     onFailure: noteLogFailure,
   });
 
@@ -219,10 +213,7 @@
       onList: (list) => {
         dispatch(toListedHosts(list));
       },
-      onFailure: (failure) => {
-        metrics.increment('host_list_failures_total');
-        logger.warn({ event: 'hostListFailed', failure }, 'the list of hosts gave no answer');
-      },
+      onFailure: notes.noteHostListFailure,
     }),
   );
   parts.use(
--- a/packages/daemon/src/link/startLinkServer.ts
+++ b/packages/daemon/src/link/startLinkServer.ts
@@ -64,7 +64,7 @@
   readonly onConnected: (entry: EntryId) => void;
   readonly onMessage: (entry: EntryId, message: EntryToSideMessage) => void;
   readonly onDisconnected: (entry: EntryId) => void;
-  readonly onMalformed: (fault: MalformedMessage) => void;
+  readonly onMalformed: (fault: MalformedMessage, peer: string) => void;
   readonly onRefused: (address: string) => void;
 }): Promise<LinkServer> => {
   const streams = new Map<EntryId, Connection>();
@@ -117,12 +117,15 @@
         drop(entry, stream);
       }
     };
+    const noteMalformed = (fault: MalformedMessage): void => {
+      onMalformed(fault, entry ?? getPeerAddress(stream));
+    };
     stream.on('data', (bytes: Uint8Array) => {
       decodeBatch(bytes).caseOf({
-        Left: onMalformed,
+        Left: noteMalformed,
         Right: (messages) => {
           for (const message of messages) {
-            decodeEntryToSideMessage(message).caseOf({ Left: onMalformed, Right: take });
+            decodeEntryToSideMessage(message).caseOf({ Left: noteMalformed, Right: take });
           }
         },
       });
--- a/packages/daemon/src/sideShell/startSide.ts
+++ b/packages/daemon/src/sideShell/startSide.ts
@@ -2,7 +2,7 @@
 import type { Incarnation } from '@parsleyhall/common';
 import type { ConfigurationState } from '@parsleyhall/configuration';
 import { createHostListClient, createLogClient } from '@parsleyhall/platform';
-import type { HostList, LogFailure } from '@parsleyhall/platform';
+import type { HostList } from '@parsleyhall/platform';
 import { createSideReducer } from '@parsleyhall/side';
 import type { SideEffect, SideEvent, SideState } from '@parsleyhall/side';
 import { startLinkServer } from '../link/startLinkServer.js';
@@ -13,6 +13,7 @@
 import { startOperatorListener } from '../operators/startOperatorListener.js';
 import { pollHostList } from '../platformReaders/pollHostList.js';
 import { startConfigurationFollower } from '../platformReaders/startConfigurationFollower.js';
+import { createFaultNotes } from '../process/createFaultNotes.js';
 import { createLatch } from '../process/createLatch.js';
 import { createDisposalStack } from '../process/createDisposalStack.js';
 import { createPeerCheck } from '../process/createPeerCheck.js';
@@ -42,18 +43,12 @@
   const parts = createDisposalStack();
   const metrics = createMetrics();
   const stopping = createLatch();
+  const notes = createFaultNotes(metrics, logger);
   registerProcessGauges(metrics);
 
   const dispatch = (body: SideEventBody): void => {
     loop.dispatch(body);
   };
-  const noteLogFailure = (failure: LogFailure): void => {
-    if (failure.type === 'aborted') {
-      return;
-    }
-    metrics.increment('log_failures_total', { type: failure.type });
-    logger.warn({ event: 'logFailed', failure }, 'the log gave no answer');
-  };
   const takeList = ({ hosts }: HostList): void => {
     const own = hosts.find(({ process }) => process === file.process);
     if (own?.state === 'leaving') {
@@ -82,8 +77,7 @@
     stampEvent: (body): SideEvent => ({ ...body, nowMs: getMonotonicMs() }),
     runEffect,
     toFailureEvent: (effect, error) => {
-      metrics.increment('effect_failures_total', { type: effect.type });
-      logger.error({ event: 'effectFailed', type: effect.type, err: error }, 'effect failed');
+      notes.noteEffectFailure(effect.type, error);
       return toSideFailureEvent(effect);
     },
   });
@@ -101,10 +95,7 @@
       onDisconnected: (entry) => {
         dispatch({ type: 'entryDisconnected', entry });
       },
-      onMalformed: (fault) => {
-        metrics.increment('malformed_messages_total');
-        logger.warn({ event: 'malformedMessage', fault }, 'a peer sent no message');
-      },
+      onMalformed: notes.noteMalformed,
       onRefused: (address) => {
         metrics.increment('refused_peers_total');
         logger.warn({ event: 'peerRefused', address }, 'a peer outside the settings');
@@ -118,8 +109,7 @@
     logger,
     putInForce: (inForce: ConfigurationState): void => {
       follower.adopt(inForce);
-      const { version, presetInForce } = inForce;
-      logger.info({ event: 'configurationInForce', version, presetInForce }, 'in force');
+      notes.noteInForce(inForce);
     },
     finishStop: stopping.open,
   };
@@ -137,10 +127,8 @@
       onConfiguration: (configuration) => {
         dispatch({ type: 'configurationFolded', configuration });
       },
-      onVerdict: (verdict) => {
-        logger.debug({ event: 'configurationVerdict', ...verdict }, 'configuration record');
-      },
-      onFailure: noteLogFailure,
+      onVerdict: notes.noteVerdict,
+      onFailure: notes.noteLogFailure,
     }),
   );
   const operators = parts.use(
@@ -156,10 +144,7 @@
       client: hostListClient,
       periodMs: file.hostListPollMs,
       onList: takeList,
-      onFailure: (failure) => {
-        metrics.increment('host_list_failures_total');
-        logger.warn({ event: 'hostListFailed', failure }, 'the list of hosts gave no answer');
-      },
+      onFailure: notes.noteHostListFailure,
     }),
   );
   if (file.target.kind === 'engine') {
