--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -41,7 +41,7 @@
   );
   const details = fc.check(property, {
     seed,
-    numRuns: runs,
+    numRuns: path === undefined ? runs : 1,
     ...(path === undefined ? {} : { path: String(path) }),
   });
   const schedule = details.counterexample?.[0];
--- a/packages/fuzz/src/world/createProcessShell.ts
+++ b/packages/fuzz/src/world/createProcessShell.ts
@@ -80,7 +80,8 @@
       incarnation,
       isCurrent,
       deliver: (newEvent) => {
-        if (holdsNextEffects && isCurrent()) {
+        // Events that wait already go first.
+        if (holdsNextEffects && isCurrent() && queue.length === 0) {
           holdsNextEffects = false;
           queue.unshift(takeEvent(newEvent));
           return;
