Side process: look for grants only when something they depend on has changed

Cause: every token event went through the choice of the next reservation. Change: queue, occupancy and window are compared by identity; ticks always look.

--- a/packages/side/src/createSideReducer.ts
+++ b/packages/side/src/createSideReducer.ts
@@ -12,6 +12,12 @@
 import { finishStop } from './leaving/finishStop.js';
 import { andThen } from './step/andThen.js';
 
+// Most events are tokens, which change nothing that a grant depends on but the estimates; those are looked at on ticks.
+const isGrantable = (before: SideState, after: SideState): boolean =>
+  before.queue !== after.queue ||
+  before.occupancy !== after.occupancy ||
+  before.window !== after.window;
+
 /** The reducer of a side process and the state of its new incarnation. */
 export const createSideReducer = (
   settings: SideSettings,
@@ -25,7 +31,8 @@
     const context = { settings, decisions, nowMs: event.nowMs };
     const expired = expireGrants(context, state);
     const handled = andThen(expired, (next) => handleEvent(context, next, event));
-    const granted = andThen(handled, (next) => issueGrants(context, next));
+    const mayGrant = event.type === 'tick' || isGrantable(state, handled.state);
+    const granted = mayGrant ? andThen(handled, (next) => issueGrants(context, next)) : handled;
     return andThen(granted, (next) => finishStop(context, next));
   };
   return { initialState: newSideState(settings), reduce };
