Tell shed from other refusals in the demo's table and start processes without a warning

Cause: the column shed counted every final answer not run, passed deadlines too, which hid the order of shedding; each started process added an exit listener of its own. Ruled out: dropping the other refusals from the table. Change: two columns; one exit listener for all that was started. Before and after: on a busy machine the demo's table said 3 shed of tier 1, whose callers had been refused for their deadline; nothing else was measured.

--- a/packages/bench/src/cluster/startProcess.ts
+++ b/packages/bench/src/cluster/startProcess.ts
@@ -1,4 +1,5 @@
 import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
@@ -22,6 +23,15 @@
   }
 };
 
+const RUNNING = new Set<ChildProcess>();
+
+// Nothing that was started here may outlive this process, however it ends.
+process.once('exit', () => {
+  for (const child of RUNNING) {
+    child.kill('SIGKILL');
+  }
+});
+
 /** Starts a Node.js process and resolves once it says that it listens. */
 export const startProcess = async (plan: ProcessPlan): Promise<RunningProcess> => {
   const child = spawn(process.execPath, [...process.execArgv, plan.script, ...plan.arguments], {
@@ -30,11 +40,8 @@
   const log = createWriteStream(plan.logFile, { flags: 'a' });
   child.stderr.pipe(log, { end: false });
   const exited = once(child, 'exit');
-  const killWithThis = (): void => {
-    child.kill('SIGKILL');
-  };
-  process.once('exit', killWithThis);
-  child.once('exit', () => process.off('exit', killWithThis));
+  RUNNING.add(child);
+  child.once('exit', () => RUNNING.delete(child));
 
   const end = async (
     signal: 'SIGTERM' | 'SIGKILL',
--- a/packages/bench/src/demo/formatDemoTable.ts
+++ b/packages/bench/src/demo/formatDemoTable.ts
@@ -6,6 +6,7 @@
   'sent',
   'in time',
   'shed',
+  'refused otherwise',
   'first token p50 ms',
   'first token p95 ms',
   'wasted prefill tokens',
@@ -16,13 +17,15 @@
   formatTable(
     HEAD,
     tiers.map(({ tier, sent, inTime, notRunByReason, firstToken, wasted }) => {
-      const shed = Object.values(notRunByReason).reduce((sum, count) => sum + count, 0);
+      const notRun = Object.values(notRunByReason).reduce((sum, count) => sum + count, 0);
+      const shed = notRunByReason.shed ?? 0;
       const hasTokens = firstToken.count > 0;
       return [
         tier,
         sent,
         inTime,
         shed,
+        notRun - shed,
         hasTokens ? Math.round(firstToken.p50) : '-',
         hasTokens ? Math.round(firstToken.p95) : '-',
         wasted.late + wasted.hungUp + wasted.lost + wasted.refused,
