Take the heap slope as the median of five

Cause: one reading gave a negative slope for peers: noise of the collector. Change: two collections each and the median of five differences.

--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -14,6 +14,7 @@
 import { timeSteps } from './timeSteps.js';
 
 const BYTES_PER_MEGABYTE = 1_000_000;
+const HEAP_REPEATS = 5;
 const STEP_TIME_MS = 200;
 const BASE: ScenarioSize = { waiting: 100, peers: 3, teams: 5 };
 const SCENARIOS = { entry: newEntryScenario, side: newSideScenario } as const;
@@ -36,9 +37,12 @@
   const [small, large] = [sizes[0], sizes[2]];
   const measureAt = (size: number): number =>
     measureHeapBytes(() => SCENARIOS[role]({ ...BASE, [dimension]: size }).state);
-  measureAt(small);
-  const bytesEach = (measureAt(large) - measureAt(small)) / (large - small);
-  return { role, dimension, bytesEach };
+  measureAt(large);
+  const slopes = Array.from(
+    { length: HEAP_REPEATS },
+    () => (measureAt(large) - measureAt(small)) / (large - small),
+  ).sort((left, right) => left - right);
+  return { role, dimension, bytesEach: slopes[Math.floor(HEAP_REPEATS / 2)] ?? Number.NaN };
 };
 
 const rows: SlopeRow[] = [];
--- a/packages/bench/src/slopes/measureHeapBytes.ts
+++ b/packages/bench/src/slopes/measureHeapBytes.ts
@@ -4,7 +4,11 @@
 /** Heap that a value takes, in bytes, as the difference after full collections. */
 export const measureHeapBytes = (create: () => unknown): number => {
   setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as () => void;
+  const collectOnce = runInNewContext('gc') as () => void;
+  const collect = (): void => {
+    collectOnce();
+    collectOnce();
+  };
   collect();
   const before = process.memoryUsage().heapUsed;
   const value = create();
