Shed a returning request of a tier that was shed above meanwhile

Cause: a tier 4 request that had been given to a target which then died came back not run and was reserved again, while its entry had shed tiers 2 and 3 in between: the hold after shedding was asked on arrival only. Ruled out: the order at the side processes (the request was in none of their queues at that time).

--- a/packages/entry/src/requests/getArrivalRefusal.ts
+++ b/packages/entry/src/requests/getArrivalRefusal.ts
@@ -3,7 +3,7 @@
 import type { ArrivedRequest } from '../arrivedRequest.js';
 import type { EntryScope } from '../entryScope.js';
 import type { EntryState } from '../entryState.js';
-import { doesLowerTierWait } from '../pools/doesLowerTierWait.js';
+import { isHeldBack } from '../pools/isHeldBack.js';
 
 /** Why a request is refused on arrival, whatever the load of the targets; undefined when it is not. */
 export const getArrivalRefusal = (
@@ -24,12 +24,5 @@
   if (request.tier > preset.lowestTierAdmitted) {
     return 'shed';
   }
-  const pool = state.pools.get(request.pool);
-  const isHeldBack =
-    pool !== undefined &&
-    scope.nowMs < pool.shedHoldUntilMs &&
-    request.tier > pool.lowestTierAdmitted;
-  const isLowerTierFirst =
-    scope.decisions.shedsLowerTierElsewhereFirst(request) && doesLowerTierWait(state, request);
-  return isHeldBack && !isLowerTierFirst ? 'shed' : undefined;
+  return isHeldBack(scope, state, request) ? 'shed' : undefined;
 };
--- a/packages/fuzz/tests/regressions.test.ts
+++ b/packages/fuzz/tests/regressions.test.ts
@@ -23,6 +23,17 @@
       { ...BURST, atMs: 0 },
     ],
   },
+  'a request that comes back not run after a higher tier was shed is shed too': {
+    delaySeed: 307414,
+    arrivals: [
+      { atMs: 540, entry: 0, tier: 1, team: 0, chunks: 1, deadlineMs: 100, kind: 'service' },
+    ],
+    faults: [
+      { kind: 'killTarget', atMs: 2274, forMs: 237, entry: 0, side: 0, variant: 0 },
+      { kind: 'burst', atMs: 2336, forMs: 20, entry: 0, side: 0, variant: 11 },
+      { kind: 'burst', atMs: 1648, forMs: 20, entry: 0, side: 3, variant: 2 },
+    ],
+  },
 };
 
 test.each(Object.entries(SCHEDULES))('%s', (_name, schedule) => {
