Tell entries the pools of hosts and side processes that a host is back

Cause: the setting sidesPerPool had no pools to go by, since the list's record had none and the shell passed on neither pool nor data centre; a host that was listed as leaving and then live again stayed closed; and digests at the target size (27 entries a side process, 76 side processes an entry) would have taken 200 KB a second of an entry. Ruled out: learning the pools by greeting (that needs the streams which the subset is to spare). Change: an optional pool in the list's records; hosts without one are all taken; hostReturned from the list; 30 ms of digest period for each peer, 100 ms at the least, which leaves today's sizes as they were.

--- a/packages/daemon/src/entryShell/toListedHosts.ts
+++ b/packages/daemon/src/entryShell/toListedHosts.ts
@@ -9,11 +9,13 @@
     type: 'hostsListed',
     hosts: hosts
       .filter(({ role }) => role === 'target')
-      .map(({ host, process, address, state }) => ({
+      .map(({ host, process, address, state, dataCentre, pool }) => ({
         host,
         side: process as SideId,
         address,
         isLeaving: state === 'leaving',
+        dataCentre,
+        ...(pool === undefined ? {} : { pool }),
       })),
     liveEntries: Math.max(1, entries.length),
   };
--- a/packages/daemon/src/sideShell/startSide.ts
+++ b/packages/daemon/src/sideShell/startSide.ts
@@ -51,8 +51,8 @@
   };
   const takeList = ({ hosts }: HostList): void => {
     const own = hosts.find(({ process }) => process === file.process);
-    if (own?.state === 'leaving') {
-      dispatch({ type: 'hostLeaving' });
+    if (own !== undefined) {
+      dispatch({ type: own.state === 'leaving' ? 'hostLeaving' : 'hostReturned' });
     }
   };
 
--- a/packages/entry/src/sides/chooseSubset.test.ts
+++ b/packages/entry/src/sides/chooseSubset.test.ts
@@ -45,3 +45,13 @@
   );
   expect(chosen.size).toBe(hosts.length);
 });
+
+test('hosts whose pool is not told are all taken', () => {
+  const hosts = newHosts(60).map(({ host, side, address, isLeaving }) => ({
+    host,
+    side,
+    address,
+    isLeaving,
+  }));
+  expect(chooseSubset('entry-1', hosts, LIMIT)).toHaveLength(60);
+});
--- a/packages/entry/src/sides/chooseSubset.ts
+++ b/packages/entry/src/sides/chooseSubset.ts
@@ -44,15 +44,14 @@
 
 /**
  * The side processes that an entry holds streams to: up to `limit` of each pool, by rendezvous hashing on the entry, taken
- * from the data centres in turn. A change of the list moves only the hosts that changed.
+ * from the data centres in turn. A change of the list moves only the hosts that changed. Hosts whose pool the list does not
+ * tell are all taken, since leaving some out could leave out a whole pool.
  */
 export const chooseSubset = (
   entry: string,
   hosts: readonly ListedHost[],
   limit: number,
 ): readonly ListedHost[] =>
-  hosts.length <= limit
-    ? hosts
-    : [...groupBy(hosts, ({ pool }) => pool ?? '').values()].flatMap((pool) =>
-        chooseOfPool(entry, pool, limit),
-      );
+  [...groupBy(hosts, ({ pool }) => pool ?? '')].flatMap(([pool, members]) =>
+    pool === '' || members.length <= limit ? members : chooseOfPool(entry, members, limit),
+  );
--- a/packages/platform/src/hostList/createHostListClient.ts
+++ b/packages/platform/src/hostList/createHostListClient.ts
@@ -1,7 +1,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { Agent } from 'undici';
 import { z } from 'zod';
-import type { HostName } from '@parsleyhall/common';
+import type { HostName, PoolName } from '@parsleyhall/common';
 import type { HttpAnswer } from '../http/httpAnswer.js';
 import type { PlatformFailure } from '../http/platformFailure.js';
 import { requestJson } from '../http/requestJson.js';
@@ -19,6 +19,10 @@
       dataCentre: z.string(),
       role: z.enum(['entry', 'target']),
       process: z.string(),
+      pool: z
+        .string()
+        .transform((value) => value as PoolName)
+        .optional(),
       address: z.string(),
       operatorAddress: z.string().optional(),
       state: z.enum(['live', 'leaving']),
--- a/packages/side/src/peers/sendPeriodic.ts
+++ b/packages/side/src/peers/sendPeriodic.ts
@@ -9,7 +9,7 @@
 import { newDigest } from './newDigest.js';
 
 const DIGEST_PERIOD_MS = 100;
-const DIGEST_MS_PER_PEER = 2;
+const DIGEST_MS_PER_PEER = 30;
 
 const sendHeartbeats = (context: SideContext, state: SideState): SideStep => {
   const { heartbeatMs } = context.settings;
--- a/packages/standIns/src/list/listedRecordSchema.ts
+++ b/packages/standIns/src/list/listedRecordSchema.ts
@@ -8,5 +8,6 @@
   process: z.string(),
   address: z.string(),
   operatorAddress: z.string().optional(),
+  pool: z.string().optional(),
   state: z.enum(['live', 'leaving']),
 });
