--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,7 +1,6 @@
 export { checkSettings } from './settings/checkSettings.js';
 export type { EntrySettingsFile } from './settings/entrySettingsFile.js';
 export { entrySettingsFileSchema } from './settings/entrySettingsFileSchema.js';
-export type { SettingsFault } from './settings/settingsFault.js';
 export type { SideSettingsFile } from './settings/sideSettingsFile.js';
 export { sideSettingsFileSchema } from './settings/sideSettingsFileSchema.js';
 export { startEntry } from './entryShell/startEntry.js';
--- a/packages/daemon/src/settings/checkSettings.test.ts
+++ b/packages/daemon/src/settings/checkSettings.test.ts
@@ -24,9 +24,9 @@
   });
   const faults = checkSettings(entrySettingsFileSchema, text).swap().orDefault([]);
   expect(faults).toEqual([
-    { path: 'listen.port', found: '70000', allowed: expect.stringContaining('65535') as unknown },
+    { path: 'listen.port', found: '70000', allowed: 'at most 65535' },
     { path: 'logLevel', found: '"loud"', allowed: expect.stringContaining('debug') as unknown },
-    { path: 'heartbeat', found: '5', allowed: 'no setting of this name' },
+    { path: 'heartbeat', found: '5', allowed: 'no such field' },
   ]);
 });
 
--- a/packages/daemon/src/startFromFile.ts
+++ b/packages/daemon/src/startFromFile.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Either } from 'purify-ts';
 import type { z } from 'zod';
+import type { DocumentFault } from '@parsleyhall/configuration';
 import { createProcessLogger } from './process/createProcessLogger.js';
 import { EXIT_CODES } from './process/exitCodes.js';
 import type { ProcessLogger } from './process/processLogger.js';
@@ -8,7 +9,6 @@
 import { runUntilStopped } from './process/runUntilStopped.js';
 import { toError } from './process/toError.js';
 import { checkSettings } from './settings/checkSettings.js';
-import type { SettingsFault } from './settings/settingsFault.js';
 
 interface LoggerSettings {
   readonly process: string;
@@ -17,12 +17,12 @@
   readonly logLevel: 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'fatal';
 }
 
-const readText = (path: string): Either<readonly SettingsFault[], string> =>
+const readText = (path: string): Either<readonly DocumentFault[], string> =>
   Either.encase(() => readFileSync(path, 'utf8')).mapLeft((error) => [
     { path: '', found: error.message, allowed: 'a file that can be read' },
   ]);
 
-const printFaults = (path: string, faults: readonly SettingsFault[]): void => {
+const printFaults = (path: string, faults: readonly DocumentFault[]): void => {
   for (const fault of faults) {
     process.stderr.write(
       `${path}: ${fault.path}: found ${fault.found}, allowed ${fault.allowed}\n`,
