--- a/packages/daemon/src/entryShell/startEntry.ts
+++ b/packages/daemon/src/entryShell/startEntry.ts
@@ -6,7 +6,6 @@
 import type { EntryEffect, EntryEvent, EntryState } from '@parsleyhall/entry';
 import { createHostListClient, createLogClient } from '@parsleyhall/platform';
 import type { LogFailure } from '@parsleyhall/platform';
-import { createCallerRegistry } from '../callers/createCallerRegistry.js';
 import { createCallersServer } from '../callers/createCallersServer.js';
 import { startKeyLog } from '../keyLog/startKeyLog.js';
 import { createEventLoop } from '../loop/createEventLoop.js';
@@ -29,11 +28,12 @@
 import { createReportAccount } from '../report/createReportAccount.js';
 import { startReporter } from '../report/startReporter.js';
 import type { EntrySettingsFile } from '../settings/entrySettingsFile.js';
-import { createSideLinks } from './createSideLinks.js';
+import { describeReporter } from './describeReporter.js';
 import type { EntryEventBody } from './entryEventBody.js';
 import { getEntryStatus } from './getEntryStatus.js';
+import { newEntryCallers } from './newEntryCallers.js';
+import { newEntryLinks } from './newEntryLinks.js';
 import { newEntrySettings } from './newEntrySettings.js';
-import { recordOutcome } from './recordOutcome.js';
 import { runEntryEffect } from './runEntryEffect.js';
 import { toEntryFailureEvent } from './toEntryFailureEvent.js';
 import { toListedHosts } from './toListedHosts.js';
@@ -69,40 +69,8 @@
   const logClient = parts.use(createLogClient(file.log));
   const hostListClient = parts.use(createHostListClient(file.hostList));
 
-  const callers = createCallerRegistry({
-    getNowMs: getMonotonicMs,
-    slowReaderBufferBytes: file.slowReaderBufferBytes,
-    onHungUp: (requestId) => {
-      dispatch({ type: 'callerHungUp', requestId });
-    },
-    onOutcome: (outcome) => {
-      recordOutcome(metrics, outcome);
-      account.add(outcome);
-    },
-    onTokenGap: ({ tier }, gapMs) => {
-      metrics.recordMs('between_tokens_milliseconds', { tier: String(tier) }, gapMs);
-    },
-  });
-
-  const links = createSideLinks({
-    maximumBodyBytes: file.maximumBodyBytes,
-    getRandom: Math.random,
-    onConnected: (side) => {
-      dispatch({ type: 'sideConnected', side });
-    },
-    onMessage: (side, message) => {
-      if (message.type === 'answerEnd') {
-        callers.notePrefill(message.requestId, message.prefillTokens);
-      }
-      dispatch({ type: 'sideMessage', side, message });
-    },
-    onDisconnected: (side) => {
-      dispatch({ type: 'sideDisconnected', side });
-    },
-    onMalformed: (side, fault) => {
-      notes.noteMalformed(fault, side);
-    },
-  });
+  const callers = newEntryCallers({ file, metrics, account, dispatch });
+  const links = newEntryLinks({ file, callers, notes, dispatch });
 
   const keyLog = startKeyLog({
     client: logClient,
@@ -193,13 +161,7 @@
       account,
       periodMs: file.reportPeriodMs,
       getWallMs: Date.now,
-      describe: () => ({
-        entry: settings.entry,
-        incarnation: settings.incarnation,
-        dataCentre: settings.dataCentre,
-        configurationVersion: configuration.version,
-        presetInForce: configuration.presetInForce ?? '',
-      }),
+      describe: () => describeReporter(settings, configuration),
       onFailure: noteLogFailure,
     }),
   );
