--- a/packages/fuzz/tests/regressions.test.ts
+++ b/packages/fuzz/tests/regressions.test.ts
@@ -34,6 +34,66 @@
       { kind: 'burst', atMs: 1648, forMs: 20, entry: 0, side: 3, variant: 2 },
     ],
   },
+  'a request that a paused entry has not read yet holds no other one back': {
+    delaySeed: 0,
+    arrivals: [
+      {
+        atMs: 1,
+        entry: 1,
+        tier: 4,
+        team: 0,
+        chunks: 1,
+        deadlineMs: 100,
+        kind: 'service',
+        keyed: 0,
+      },
+    ],
+    faults: [
+      { kind: 'pauseEntry', atMs: 0, forMs: 411, entry: 1, side: 0, variant: 0 },
+      { ...BURST, atMs: 233, side: 1 },
+    ],
+  },
+  'a paused entry gives its lower tiers their last word after the pause': {
+    delaySeed: 0,
+    arrivals: [
+      {
+        atMs: 0,
+        entry: 0,
+        tier: 1,
+        team: 0,
+        chunks: 1,
+        deadlineMs: 100,
+        kind: 'service',
+        keyed: 0,
+      },
+      {
+        atMs: 35,
+        entry: 0,
+        tier: 1,
+        team: 0,
+        chunks: 1,
+        deadlineMs: 100,
+        kind: 'service',
+        keyed: 0,
+        hangsUpAfterMs: 1,
+      },
+      {
+        atMs: 615,
+        entry: 1,
+        tier: 4,
+        team: 0,
+        chunks: 1,
+        deadlineMs: 100,
+        kind: 'service',
+        keyed: 1,
+      },
+    ],
+    faults: [
+      { kind: 'listOutage', atMs: 0, forMs: 20, entry: 0, side: 0, variant: 0 },
+      { kind: 'pauseEntry', atMs: 692, forMs: 426, entry: 1, side: 0, variant: 0 },
+      { ...BURST, atMs: 828, side: 3 },
+    ],
+  },
 };
 
 test.each(Object.entries(SCHEDULES))('%s', (_name, schedule) => {
