Let the load tool's callers leave a killed entry

Cause: the relay that delays callers accepted connections for an entry that was dead, so that its callers were never sent on. Ruled out: a fault of the entries or of the callers' own turn to the next entry, which takes a refused connection. Change: a relay before an entry refuses connections once its target does.

--- a/packages/bench/src/cluster/startCallerRelays.ts
+++ b/packages/bench/src/cluster/startCallerRelays.ts
@@ -9,7 +9,8 @@
 ): Promise<ReadonlyMap<string, string>> => {
   const direct = plan.entries.map(({ process }) => String(group.get(process).listening.callers));
   const delayMs = plan.callerDelayMs;
-  const settings = delayMs === 0 ? [] : direct.map((target) => ({ target, delayMs }));
+  const settings =
+    delayMs === 0 ? [] : direct.map((target) => ({ target, delayMs, endsWithTarget: true }));
   const relays = await startStandIns(group, { name: 'caller-relays', kind: 'relay', settings });
   return new Map(
     plan.entries.map(({ process }, place) => [process, relays[place] ?? direct[place] ?? '']),
--- a/packages/standIns/src/relay/startRelay.ts
+++ b/packages/standIns/src/relay/startRelay.ts
@@ -7,6 +7,8 @@
   readonly target: string;
   /** Delay of each direction, in milliseconds. */
   readonly delayMs: number;
+  /** True when the relay is to refuse connections for good once its target does, as the target's own address would. */
+  readonly endsWithTarget?: boolean | undefined;
 }
 
 const LOOPBACK = '127.0.0.1';
@@ -38,7 +40,11 @@
 };
 
 /** Starts a TCP relay on the loopback address that delays every byte by a fixed time. */
-export const startRelay = async ({ target, delayMs }: RelaySettings): Promise<Relay> => {
+export const startRelay = async ({
+  target,
+  delayMs,
+  endsWithTarget = false,
+}: RelaySettings): Promise<Relay> => {
   const [host = LOOPBACK, port = '0'] = target.split(':');
   const sockets = new Set<Socket>();
   let isCut = false;
@@ -58,6 +64,11 @@
     }
     const called = connect({ host, port: Number(port), allowHalfOpen: true });
     track(called);
+    called.once('error', (error: NodeJS.ErrnoException) => {
+      if (endsWithTarget && error.code === 'ECONNREFUSED') {
+        server.close();
+      }
+    });
     forward(caller, called, delayMs);
     forward(called, caller, delayMs);
   });
@@ -76,7 +87,7 @@
       isCut = false;
     },
     [Symbol.asyncDispose]: async () => {
-      const closed = once(server, 'close');
+      const closed = server.listening ? once(server, 'close') : undefined;
       server.close();
       cut();
       await closed;
--- a/packages/standIns/src/relay/startRelayStandIn.ts
+++ b/packages/standIns/src/relay/startRelayStandIn.ts
@@ -2,7 +2,11 @@
 import type { Relay } from './relay.js';
 import { startRelay } from './startRelay.js';
 
-const settingsSchema = z.strictObject({ target: z.string(), delayMs: z.number().min(0) });
+const settingsSchema = z.strictObject({
+  target: z.string(),
+  delayMs: z.number().min(0),
+  endsWithTarget: z.boolean().default(false),
+});
 
 /** Starts a relay from settings that are checked first. */
 export const startRelayStandIn = async (input: object): Promise<Relay> =>
