Give up a waiting repeat before a higher tier

Ruled out: leaving repeats out for asking no room: they may ask for it as soon as the owner ends. Change: whatever waits at an entry is in its index of victims, repeats too. One that is given up is told not run, which is true of it, and gets the kept answer when it comes back.

--- a/packages/entry/src/pools/poolState.ts
+++ b/packages/entry/src/pools/poolState.ts
@@ -4,7 +4,7 @@
 export interface PoolState {
   /** Side processes that have greeted for this pool on an open connection. */
   readonly sides: readonly SideId[];
-  /** Waiting requests, also those that claim their key; the lowest tier and the latest arrival come first. */
+  /** Waiting requests, also those that claim their key or wait for its owner; the lowest tier and the latest arrival come first. */
   readonly waiting: OrderedIndex<RequestId>;
   /** Waiting requests without any reservation. */
   readonly unplaced: OrderedIndex<RequestId>;
--- a/packages/entry/src/requests/replaceRequest.ts
+++ b/packages/entry/src/requests/replaceRequest.ts
@@ -43,7 +43,7 @@
   direction: Direction,
 ): EntryState => {
   const { phase } = tracked;
-  if (phase.type !== 'waiting' && phase.type !== 'claiming') {
+  if (!isWaiting(tracked)) {
     return state;
   }
   const { pool, requestId } = tracked.request;
--- a/packages/fuzz/tests/regressions.test.ts
+++ b/packages/fuzz/tests/regressions.test.ts
@@ -94,6 +94,37 @@
       { ...BURST, atMs: 828, side: 3 },
     ],
   },
+  'a repeat that waits for the run of another request is given up before a higher tier': {
+    delaySeed: 78883,
+    arrivals: [
+      {
+        atMs: 165,
+        entry: 0,
+        tier: 1,
+        team: 0,
+        chunks: 1,
+        deadlineMs: 100,
+        kind: 'service',
+        keyed: 1,
+      },
+      {
+        atMs: 645,
+        entry: 0,
+        tier: 4,
+        team: 0,
+        chunks: 1,
+        deadlineMs: 307,
+        kind: 'service',
+        keyed: 1,
+      },
+    ],
+    faults: [
+      { kind: 'logSlow', atMs: 0, forMs: 375, entry: 0, side: 0, variant: 0 },
+      { kind: 'logSlow', atMs: 0, forMs: 20, entry: 0, side: 0, variant: 0 },
+      { kind: 'logSlow', atMs: 627, forMs: 292, entry: 0, side: 0, variant: 0 },
+      { ...BURST, atMs: 689, side: 1 },
+    ],
+  },
 };
 
 test.each(Object.entries(SCHEDULES))('%s', (_name, schedule) => {
