Take a tier's own value in one place

Cause: a side process chose the queue of a tier and its horizon by the same switch over four values, written twice. Ruled out: an index by tier less one, which loses the type of the value; the tables of workloads, which are data.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export type { Branded } from './branded.js';
 export { clamp } from './clamp.js';
 export { computeFingerprint } from './computeFingerprint.js';
+export { getByTier } from './getByTier.js';
 export { MS_PER_SECOND } from './msPerSecond.js';
 export { OrderedIndex } from './orderedIndex.js';
 export { rankByRendezvous } from './rankByRendezvous.js';
