Keep quotas as a sum over the rule's window in place of a token bucket

Ruled out: uneven shares between entries (the refused team's callers just sit in two data centres). Log fields no longer take the names that the log library uses itself.

--- a/packages/router/src/process/routerSettings.ts
+++ b/packages/router/src/process/routerSettings.ts
@@ -15,6 +15,8 @@
   /** Entries that may be there at the start, by IP address. */
   readonly peerAddresses: readonly string[];
   readonly retries: RetryPolicy;
+  /** Quotas hold in any window of this length, in milliseconds. */
+  readonly quotaWindowMs: number;
   /** Requests with a key are refused where the configuration was last confirmed longer ago, in milliseconds. */
   readonly longestUnconfirmedMs: number;
   /** From a planned stop's signal until the process must be gone, in milliseconds. */
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -70,6 +70,7 @@
     incarnation: Date.now(),
     dataCentre: settings.dataCentre,
     retries: settings.retries,
+    quotaWindowMs: settings.quotaWindowMs,
     longestUnconfirmedMs: settings.longestUnconfirmedMs,
   });
 
--- a/packages/routing/src/createRoutingReducer.ts
+++ b/packages/routing/src/createRoutingReducer.ts
@@ -69,7 +69,7 @@
     case 'targetsListed':
       return listTargets(state, event.targets, scope);
     case 'digestReceived':
-      return keep(receiveDigest(state, event.digest, scope.nowMs));
+      return keep(receiveDigest(state, event.digest, scope));
     case 'leaving':
       return keep({ ...state, isLeaving: true });
     case 'ticked':
--- a/packages/routing/src/peers/receiveDigest.ts
+++ b/packages/routing/src/peers/receiveDigest.ts
@@ -1,4 +1,7 @@
+import { chargeQuota } from '../quota/chargeQuota.js';
+import { newQuotaAccount } from '../quota/newQuotaAccount.js';
 import type { RoutingState } from '../routingState.js';
+import type { Scope } from '../steps/scope.js';
 import type { Peer } from './peer.js';
 import type { PeerDigest } from './peerDigest.js';
 
@@ -10,15 +13,21 @@
   state: RoutingState,
   digest: PeerDigest,
   known: Peer | undefined,
+  { settings: { quotaWindowMs: windowMs }, nowMs }: Scope,
 ): RoutingState['quotas'] => {
+  // What an entry took before it was first heard may lie long back and is left out.
   const before =
-    known?.digest.incarnation === digest.incarnation ? known.digest.quotaTaken : {};
+    known === undefined
+      ? digest.quotaTaken
+      : known.digest.incarnation === digest.incarnation
+        ? known.digest.quotaTaken
+        : {};
   let quotas = state.quotas;
   for (const [team, taken] of Object.entries(digest.quotaTaken)) {
-    const account = quotas.get(team);
-    const added = taken - (before[team] ?? 0);
-    if (account !== undefined && added !== 0) {
-      quotas = quotas.set(team, { ...account, level: account.level - added });
+    const amount = taken - (before[team] ?? 0);
+    if (amount !== 0) {
+      const account = quotas.get(team) ?? newQuotaAccount();
+      quotas = quotas.set(team, chargeQuota({ account, amount, nowMs, windowMs }));
     }
   }
   return quotas;
@@ -28,7 +37,7 @@
 export const receiveDigest = (
   state: RoutingState,
   digest: PeerDigest,
-  nowMs: number,
+  scope: Scope,
 ): RoutingState => {
   const known = state.peers.get(digest.host);
   if (known !== undefined && isOutdated(known.digest, digest)) {
@@ -36,7 +45,7 @@
   }
   return {
     ...state,
-    quotas: chargeQuotas(state, digest, known),
-    peers: state.peers.set(digest.host, { digest, heardMs: nowMs }),
+    quotas: chargeQuotas(state, digest, known, scope),
+    peers: state.peers.set(digest.host, { digest, heardMs: scope.nowMs }),
   };
 };
--- a/packages/routing/src/quota/getQuotaWaitMs.ts
+++ b/packages/routing/src/quota/getQuotaWaitMs.ts
@@ -1,10 +1,29 @@
-import { MS_PER_SECOND } from '@parsleyhall/common';
-import type { TeamQuota } from '../configuration/teamQuota.js';
 import type { QuotaAccount } from './quotaAccount.js';
 
-/** How long until the account covers the cost, in milliseconds; 0 where it does now. */
-export const getQuotaWaitMs = (account: QuotaAccount, quota: TeamQuota, cost: number): number => {
-  const needed = Math.min(cost, quota.burst + quota.perSecond);
-  const missing = needed - account.level;
-  return missing <= 0 ? 0 : (missing / quota.perSecond) * MS_PER_SECOND;
+/** How long until the cost fits into the allowance of a window, in milliseconds; 0 where it does now. */
+export const getQuotaWaitMs = ({
+  account,
+  allowance,
+  cost,
+  nowMs,
+  windowMs,
+}: {
+  readonly account: QuotaAccount;
+  readonly allowance: number;
+  readonly cost: number;
+  readonly nowMs: number;
+  readonly windowMs: number;
+}): number => {
+  const recent = account.spans.filter(({ startMs }) => startMs > nowMs - windowMs);
+  let excess = recent.reduce((sum, { taken }) => sum + taken, 0) + cost - allowance;
+  if (excess <= 0 || recent.length === 0) {
+    return 0;
+  }
+  for (const { startMs, taken } of recent) {
+    excess -= taken;
+    if (excess <= 0) {
+      return Math.max(1, startMs + windowMs - nowMs);
+    }
+  }
+  return windowMs;
 };
--- a/packages/routing/src/quota/quotaAccount.ts
+++ b/packages/routing/src/quota/quotaAccount.ts
@@ -1,8 +1,9 @@
-/** What is left of a team's quota as this entry knows it. */
+import type { QuotaSpan } from './quotaSpan.js';
+
+/** What a team took of its quota lately, as this entry knows it. */
 export interface QuotaAccount {
-  /** May fall below zero by what other entries took. */
-  readonly level: number;
-  readonly updatedMs: number;
-  /** All that this entry took since its start; only grows. */
+  /** By all entries together; the oldest first. */
+  readonly spans: readonly QuotaSpan[];
+  /** All that this entry took since its start, less what it gave back. */
   readonly takenHere: number;
 }
--- a/packages/routing/src/quota/returnQuota.ts
+++ b/packages/routing/src/quota/returnQuota.ts
@@ -5,14 +5,14 @@
 export const returnQuota = (state: RoutingState, request: TrackedRequest): RoutingState => {
   const { team, quotaCost } = request;
   const account = team === undefined ? undefined : state.quotas.get(team);
-  if (team === undefined || account === undefined || quotaCost === 0) {
+  const last = account?.spans.at(-1);
+  if (team === undefined || account === undefined || last === undefined || quotaCost === 0) {
     return state;
   }
   return {
     ...state,
     quotas: state.quotas.set(team, {
-      ...account,
-      level: account.level + quotaCost,
+      spans: [...account.spans.slice(0, -1), { ...last, taken: last.taken - quotaCost }],
       takenHere: account.takenHere - quotaCost,
     }),
   };
--- a/packages/routing/src/quota/takeQuota.ts
+++ b/packages/routing/src/quota/takeQuota.ts
@@ -1,33 +1,40 @@
 import type { RoutedTeam } from '../configuration/routedTeam.js';
 import { getQuotaShare } from '../peers/getQuotaShare.js';
 import type { RoutingState } from '../routingState.js';
+import type { Scope } from '../steps/scope.js';
+import { chargeQuota } from './chargeQuota.js';
+import { getQuotaAllowance } from './getQuotaAllowance.js';
 import { getQuotaCost } from './getQuotaCost.js';
 import { getQuotaWaitMs } from './getQuotaWaitMs.js';
-import { refillQuota } from './refillQuota.js';
+import { newQuotaAccount } from './newQuotaAccount.js';
 
-/** Takes a request off its team's quota, or says how long to wait, in milliseconds. */
-export const takeQuota = ({
-  state,
-  team,
-  tokens,
-  nowMs,
-}: {
+interface TakenQuota {
   readonly state: RoutingState;
-  readonly team: RoutedTeam | undefined;
-  readonly tokens: number | undefined;
-  readonly nowMs: number;
-}): { readonly state: RoutingState; readonly cost: number; readonly waitMs: number } => {
+  readonly cost: number;
+  /** 0 where the quota covers the request. */
+  readonly waitMs: number;
+}
+
+/** Takes a request off its team's quota, or says how long to wait, in milliseconds. */
+export const takeQuota = (
+  state: RoutingState,
+  team: RoutedTeam | undefined,
+  tokens: number | undefined,
+  { settings: { quotaWindowMs: windowMs }, nowMs }: Scope,
+): TakenQuota => {
   const quota = team?.quota;
   if (team === undefined || quota === undefined || quota.perSecond <= 0) {
     return { state, cost: 0, waitMs: 0 };
   }
-  const share = getQuotaShare([...state.peers.values()], nowMs);
-  const account = refillQuota({ account: state.quotas.get(team.name), quota, share, nowMs });
+  const account = state.quotas.get(team.name) ?? newQuotaAccount();
   const cost = getQuotaCost(quota, tokens);
-  const waitMs = getQuotaWaitMs(account, quota, cost);
-  const next =
-    waitMs > 0
-      ? account
-      : { ...account, level: account.level - cost, takenHere: account.takenHere + cost };
-  return { state: { ...state, quotas: state.quotas.set(team.name, next) }, cost, waitMs };
+  const share = getQuotaShare([...state.peers.values()], nowMs);
+  const allowance = getQuotaAllowance(quota, windowMs) * share;
+  const waitMs = getQuotaWaitMs({ account, allowance, cost, nowMs, windowMs });
+  if (waitMs > 0) {
+    return { state, cost, waitMs };
+  }
+  const charged = chargeQuota({ account, amount: cost, nowMs, windowMs });
+  const next = { ...charged, takenHere: charged.takenHere + cost };
+  return { state: { ...state, quotas: state.quotas.set(team.name, next) }, cost, waitMs: 0 };
 };
--- a/packages/routing/src/routingSettings.ts
+++ b/packages/routing/src/routingSettings.ts
@@ -6,6 +6,8 @@
   readonly incarnation: number;
   readonly dataCentre: string;
   readonly retries: RetryPolicy;
+  /** Quotas hold in any window of this length, in milliseconds. */
+  readonly quotaWindowMs: number;
   /** Requests with a key are refused where the configuration was last confirmed longer ago, in milliseconds. */
   readonly longestUnconfirmedMs: number;
 }
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -1,3 +1,4 @@
+import type { RoutedTeam } from '../configuration/routedTeam.js';
 import { countEntries } from '../peers/countEntries.js';
 import { predictWaitMs } from '../queue/predictWaitMs.js';
 import { takeQuota } from '../quota/takeQuota.js';
@@ -21,7 +22,12 @@
 /** When to ask again where no target is listed, in milliseconds. */
 const NO_TARGET_RETRY_MS = 1_000;
 
-const refuseArrival = (state: RoutingState, arrival: Arrival, refusal: Refusal): Outcome =>
+const refuseArrival = (
+  state: RoutingState,
+  arrival: Arrival,
+  refusal: Refusal,
+  inputs: Readonly<Record<string, string | number | boolean>> = {},
+): Outcome =>
   keep(
     state,
     { type: 'answer', requestId: arrival.requestId, refusal },
@@ -30,15 +36,29 @@
       name: 'requestRefused',
       fields: {
         requestId: arrival.requestId,
-        host: arrival.host,
+        callerHost: arrival.host,
         reason: refusal.reason,
         status: refusal.status,
         mayHaveRun: false,
         version: state.index?.configuration.version ?? 0,
+        ...inputs,
       },
     },
   );
 
+const describeQuota = (
+  team: RoutedTeam | undefined,
+  cost: number,
+): Readonly<Record<string, string | number>> =>
+  team?.quota === undefined
+    ? {}
+    : {
+        team: team.name,
+        cost,
+        perSecond: team.quota.perSecond,
+        burst: team.quota.burst,
+      };
+
 const findOverload = (
   state: RoutingState,
   request: TrackedRequest,
@@ -75,14 +95,15 @@
   const tokens =
     promptTokens === undefined ? undefined : promptTokens + (maxOutputTokens ?? 0);
   const counted = noteSend(state, service, 'request', scope);
-  const taken = takeQuota({ state: counted, team, tokens, nowMs });
+  const taken = takeQuota(counted, team, tokens, scope);
   if (taken.waitMs > 0) {
     const retryAfterMs = Math.ceil(taken.waitMs);
-    return refuseArrival(taken.state, arrival, {
-      status: 429,
-      reason: 'quotaExceeded',
-      retryAfterMs,
-    });
+    return refuseArrival(
+      taken.state,
+      arrival,
+      { status: 429, reason: 'quotaExceeded', retryAfterMs },
+      describeQuota(team, taken.cost),
+    );
   }
   const request = newRequest({ arrival, route, service, team, quotaCost: taken.cost, nowMs });
   const overload = findOverload(taken.state, request, scope);
