Keep unframed answers unframed, and quotas over the loss of all entries

Kept: the first entry by name writes what was taken to the store once a second, entries read it at their start, or learn it from another entry.

--- a/packages/router/src/callers/createRelay.ts
+++ b/packages/router/src/callers/createRelay.ts
@@ -12,15 +12,19 @@
 ): Relay => {
   let lastEventId = headers.lastEventId;
   let events = 0;
-  let head: { readonly status: number; readonly headers: RawHeaders } | undefined;
+  let head:
+    | { readonly status: number; readonly headers: RawHeaders; readonly hasLength: boolean }
+    | undefined;
 
   const sendHead = (): void => {
     if (response.headersSent || head === undefined) {
       return;
     }
-    if (isClosing()) {
+    if (isClosing() || !head.hasLength) {
       response.shouldKeepAlive = false;
     }
+    // An answer that ended with its connection must not be framed as whole: its caller's ends so too.
+    response.useChunkedEncodingByDefault = head.hasLength;
     response.writeHead(head.status, [...selectHeaders(head.headers, NOTHING_LEFT_OUT)]);
   };
 
@@ -29,8 +33,8 @@
     getLastEventId: () => lastEventId,
     getEvents: () => events,
     hasHead: () => response.headersSent,
-    takeHead: (status, raw) => {
-      head ??= { status, headers: raw };
+    takeHead: (status, raw, hasLength) => {
+      head ??= { status, headers: raw, hasLength };
     },
     write: (bytes, eventId) => {
       sendHead();
--- a/packages/router/src/callers/relay.ts
+++ b/packages/router/src/callers/relay.ts
@@ -8,7 +8,7 @@
   readonly getEvents: () => number;
   readonly hasHead: () => boolean;
   /** Takes the head of a send's answer; later heads of the same request are dropped. */
-  readonly takeHead: (status: number, headers: RawHeaders) => void;
+  readonly takeHead: (status: number, headers: RawHeaders, hasLength: boolean) => void;
   /** Hands whole bytes on; answers whether more may come at once. */
   readonly write: (bytes: Buffer, eventId?: string) => boolean;
   readonly end: () => void;
--- a/packages/router/src/calls/createEventSplitter.ts
+++ b/packages/router/src/calls/createEventSplitter.ts
@@ -17,8 +17,7 @@
   return -1;
 };
 
-const readId = (bytes: Buffer): string | undefined =>
-  ID_LINE.exec(bytes.toString('latin1'))?.[1];
+const readId = (bytes: Buffer): string | undefined => ID_LINE.exec(bytes.toString('latin1'))?.[1];
 
 /** Creates a splitter at the start of a stream. */
 export const createEventSplitter = (): EventSplitter => {
--- a/packages/router/src/calls/createStreamSink.ts
+++ b/packages/router/src/calls/createStreamSink.ts
@@ -1,8 +1,6 @@
-import type { IncomingHttpHeaders } from 'node:http';
 import type { Relay } from '../callers/relay.js';
 import type { AnswerSink } from '../targets/answerSink.js';
 import { createEventSplitter } from './createEventSplitter.js';
-import type { RawHeaders } from './rawHeaders.js';
 import type { SinkEvents } from './sinkEvents.js';
 
 const WENT_ON_PERIOD_MS = 100;
@@ -57,11 +55,11 @@
   };
 
   return {
-    takeHead: (status: number, headers: IncomingHttpHeaders, raw: RawHeaders) => {
+    takeHead: (status, headers, raw, hasLength) => {
       isRelayed = events.began(status, headers);
       isEventStream = headers['content-type']?.includes('text/event-stream') ?? false;
       if (isRelayed) {
-        relay.takeHead(status, raw);
+        relay.takeHead(status, raw, hasLength);
       }
     },
     takeBytes: (bytes) => {
--- a/packages/router/src/calls/createWholeSink.ts
+++ b/packages/router/src/calls/createWholeSink.ts
@@ -11,22 +11,23 @@
   let held: Buffer[] = [];
   let heldBytes = 0;
   let isRelayed = false;
-  let head: { readonly status: number; readonly raw: RawHeaders } | undefined;
+  let head:
+    { readonly status: number; readonly raw: RawHeaders; readonly hasLength: boolean } | undefined;
 
   const release = (): boolean => {
     if (head === undefined) {
       return true;
     }
-    relay.takeHead(head.status, head.raw);
+    relay.takeHead(head.status, head.raw, head.hasLength);
     const mayGoOn = held.length === 0 || relay.write(Buffer.concat(held));
     held = [];
     return mayGoOn;
   };
 
   return {
-    takeHead: (status, headers, raw) => {
+    takeHead: (status, headers, raw, hasLength) => {
       isRelayed = events.began(status, headers);
-      head = { status, raw };
+      head = { status, raw, hasLength };
     },
     takeBytes: (bytes) => {
       if (!isRelayed) {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,6 +5,7 @@
 export type { AnswerHeaders } from './calls/answerHeaders.js';
 export type { CallCodec } from './calls/callCodec.js';
 export type { CallHeaders } from './calls/callHeaders.js';
+export type { PlatformLink } from './process/platformLink.js';
 export type { RouterInputs } from './process/routerInputs.js';
 export type { RouterLogger } from './process/routerLogger.js';
 export type { RouterSettings } from './process/routerSettings.js';
--- a/packages/router/src/peers/readDigest.ts
+++ b/packages/router/src/peers/readDigest.ts
@@ -28,17 +28,28 @@
   const { host, incarnation, sequence, isLeaving } = value.digest;
   const inFlight = readCounts(value.digest.inFlight);
   const quotaTaken = readCounts(value.digest.quotaTaken);
+  const quotaRecent = readCounts(value.digest.quotaRecent);
   if (
     typeof host !== 'string' ||
     typeof incarnation !== 'number' ||
     typeof sequence !== 'number' ||
     inFlight === undefined ||
-    quotaTaken === undefined
+    quotaTaken === undefined ||
+    quotaRecent === undefined
   ) {
     return undefined;
   }
   return {
-    digest: { host, incarnation, sequence, inFlight, quotaTaken, isLeaving: isLeaving === true },
+    digest: {
+      host,
+      incarnation,
+      sequence,
+      inFlight,
+      quotaTaken,
+      quotaRecent,
+      knowsWindow: value.digest.knowsWindow === true,
+      isLeaving: isLeaving === true,
+    },
     known: value.known.filter((address) => typeof address === 'string'),
   };
 };
--- /dev/null
+++ b/packages/router/src/process/platformLink.ts
@@ -0,0 +1,9 @@
+import type { RouterInputs } from './routerInputs.js';
+
+/** What a router needs of the platform that it runs on. */
+export interface PlatformLink extends AsyncDisposable {
+  /** Starts to follow the configuration, the targets and the other entries. */
+  readonly follow: (inputs: RouterInputs) => void;
+  /** Keeps what was taken of the quotas, by team, for an entry that starts later; a failure is only logged. */
+  readonly rememberQuotas: (taken: Readonly<Record<string, number>>) => void;
+}
--- a/packages/router/src/process/routerInputs.ts
+++ b/packages/router/src/process/routerInputs.ts
@@ -6,5 +6,7 @@
   /** The platform held nothing newer than the latest configuration at that moment. */
   readonly takeConfirmation: (confirmed: Confirmation) => void;
   readonly takeTargets: (targets: readonly ListedTarget[]) => void;
+  /** What was taken of the quotas in the window before this start, by team. */
+  readonly takeRecalledQuotas: (taken: Readonly<Record<string, number>>) => void;
   readonly takePeerAddresses: (addresses: readonly string[]) => void;
 }
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -1,11 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createRoutingReducer, newRoutingState } from '@parsleyhall/routing';
-import type {
-  Refusal,
-  RoutingEffect,
-  RoutingEvent,
-  RoutingState,
-} from '@parsleyhall/routing';
+import type { Refusal, RoutingEffect, RoutingEvent, RoutingState } from '@parsleyhall/routing';
 import type { Caller } from '../callers/caller.js';
 import { createCallersServer } from '../callers/createCallersServer.js';
 import { createRelay } from '../callers/createRelay.js';
@@ -21,7 +16,7 @@
 import { createTargetCaller } from '../targets/createTargetCaller.js';
 import type { Exchange } from '../targets/exchange.js';
 import { getClocks } from './getClocks.js';
-import type { RouterInputs } from './routerInputs.js';
+import type { PlatformLink } from './platformLink.js';
 import type { RouterLogger } from './routerLogger.js';
 import type { RouterSettings } from './routerSettings.js';
 import type { RunningRouter } from './runningRouter.js';
@@ -49,19 +44,18 @@
   settings,
   codec,
   logger,
-  follow,
+  platform,
 }: {
   readonly settings: RouterSettings;
   readonly codec: CallCodec;
   readonly logger: RouterLogger;
-  /** Starts to follow the platform. */
-  readonly follow: (inputs: RouterInputs) => AsyncDisposable;
+  readonly platform: PlatformLink;
 }): Promise<RunningRouter> => {
   const calls = new Map<number, Call>();
   const targetCaller = createTargetCaller();
   let nextRequestId = 1;
   let isStopping = false;
-  let state: RoutingState = newRoutingState();
+  let state: RoutingState = newRoutingState(performance.now());
   const queue: RoutingEvent[] = [];
   let isRunning = false;
 
@@ -204,6 +198,9 @@
       case 'sendDigest':
         peers.send(effect.digest);
         return;
+      case 'rememberQuotas':
+        platform.rememberQuotas(effect.taken);
+        return;
       case 'observe':
         logger.info({ event: effect.name, ...describe(effect.fields) }, effect.name);
         return;
@@ -213,8 +210,7 @@
   const describe = (
     fields: Readonly<Record<string, string | number | boolean>>,
   ): Readonly<Record<string, string | number | boolean>> => {
-    const call =
-      typeof fields.requestId === 'number' ? calls.get(fields.requestId) : undefined;
+    const call = typeof fields.requestId === 'number' ? calls.get(fields.requestId) : undefined;
     const attemptId = call?.caller.headers.attemptId;
     return attemptId === undefined ? fields : { ...fields, attemptId };
   };
@@ -312,7 +308,7 @@
   await callers.listen(settings.callersAddress);
   logger.info({ event: 'started', address: settings.callersAddress }, 'started');
 
-  const following = follow({
+  platform.follow({
     takeConfiguration: (configuration) => {
       callers.setIdleTimeoutMs(configuration.limits.idleTimeoutMs);
       dispatch({ type: 'configurationRead', configuration });
@@ -323,6 +319,9 @@
     takeTargets: (targets) => {
       dispatch({ type: 'targetsListed', targets });
     },
+    takeRecalledQuotas: (taken) => {
+      dispatch({ type: 'quotasRecalled', taken });
+    },
     takePeerAddresses: peers.addAddresses,
   });
 
@@ -367,7 +366,7 @@
     whenStopped,
     [Symbol.asyncDispose]: async () => {
       clearInterval(ticking);
-      await following[Symbol.asyncDispose]();
+      await platform[Symbol.asyncDispose]();
       await readiness[Symbol.asyncDispose]();
       await callers[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
--- a/packages/router/src/targets/createTargetCaller.ts
+++ b/packages/router/src/targets/createTargetCaller.ts
@@ -59,7 +59,10 @@
     idle.set(address, kept);
   };
 
-  const call = ({ address, method, path, headers, body }: TargetCall, sink: AnswerSink): Exchange => {
+  const call = (
+    { address, method, path, headers, body }: TargetCall,
+    sink: AnswerSink,
+  ): Exchange => {
     const connection = take(address);
     let controller: Dispatcher.DispatchController | undefined;
     let hasLeft = false;
@@ -104,7 +107,7 @@
         }
         hasLength = isFramed(responseHeaders);
         mayKeep = hasLength && !isClosing(responseHeaders);
-        sink.takeHead(status, responseHeaders, readRawHeaders(started));
+        sink.takeHead(status, responseHeaders, readRawHeaders(started), hasLength);
       },
       onResponseData: (started, chunk) => {
         if (!isOver && !sink.takeBytes(chunk)) {
--- a/packages/routing/src/createRoutingReducer.ts
+++ b/packages/routing/src/createRoutingReducer.ts
@@ -2,6 +2,7 @@
 import { indexConfiguration } from './configuration/indexConfiguration.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import { receiveDigest } from './peers/receiveDigest.js';
+import { learnQuotas } from './quota/learnQuotas.js';
 import type { RoutingEffect } from './routingEffect.js';
 import type { RoutingEvent } from './routingEvent.js';
 import type { RoutingSettings } from './routingSettings.js';
@@ -20,10 +21,7 @@
 import type { Scope } from './steps/scope.js';
 import { tick } from './steps/tick.js';
 
-const readConfiguration = (
-  state: RoutingState,
-  configuration: RoutingConfiguration,
-): Outcome => {
+const readConfiguration = (state: RoutingState, configuration: RoutingConfiguration): Outcome => {
   const { version } = configuration;
   if (state.index !== undefined && state.index.configuration.version >= version) {
     return keep(state);
@@ -70,6 +68,8 @@
       return listTargets(state, event.targets, scope);
     case 'digestReceived':
       return keep(receiveDigest(state, event.digest, scope));
+    case 'quotasRecalled':
+      return keep(learnQuotas(state, event.taken, scope));
     case 'leaving':
       return keep({ ...state, isLeaving: true });
     case 'ticked':
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -1,8 +1,8 @@
 import { Map } from 'immutable';
 import type { RoutingState } from './routingState.js';
 
-/** The state at the start of an entry. */
-export const newRoutingState = (): RoutingState => ({
+/** The state of an entry that starts now, in milliseconds of the steady clock. */
+export const newRoutingState = (nowMs: number): RoutingState => ({
   targets: Map(),
   requests: Map(),
   waiting: Map(),
@@ -10,6 +10,8 @@
   quotas: Map(),
   retryCounts: Map(),
   paces: Map(),
+  quotasKnownSinceMs: nowMs,
+  rememberedMs: nowMs,
   nextSendId: 1,
   digestSequence: 0,
   isLeaving: false,
--- a/packages/routing/src/peers/newDigest.ts
+++ b/packages/routing/src/peers/newDigest.ts
@@ -1,9 +1,11 @@
-import type { RoutingSettings } from '../routingSettings.js';
+import { getRecentQuotas } from '../quota/getRecentQuotas.js';
+import { knowsQuotaWindow } from '../quota/knowsQuotaWindow.js';
 import type { RoutingState } from '../routingState.js';
+import type { Scope } from '../steps/scope.js';
 import type { PeerDigest } from './peerDigest.js';
 
 /** What this entry tells the others now. */
-export const newDigest = (state: RoutingState, settings: RoutingSettings): PeerDigest => ({
+export const newDigest = (state: RoutingState, { settings, nowMs }: Scope): PeerDigest => ({
   host: settings.host,
   incarnation: settings.incarnation,
   sequence: state.digestSequence,
@@ -15,5 +17,7 @@
   quotaTaken: Object.fromEntries(
     [...state.quotas].map(([team, { takenHere }]) => [team, takenHere]),
   ),
+  quotaRecent: getRecentQuotas(state, settings, nowMs),
+  knowsWindow: knowsQuotaWindow(state, settings, nowMs),
   isLeaving: state.isLeaving,
 });
--- a/packages/routing/src/peers/peerDigest.ts
+++ b/packages/routing/src/peers/peerDigest.ts
@@ -9,6 +9,10 @@
   readonly inFlight: Readonly<Record<string, number>>;
   /** What the entry took of each team's quota since its start, by team. */
   readonly quotaTaken: Readonly<Record<string, number>>;
+  /** What all entries took of each team's quota in the latest window, by team, as the entry knows it. */
+  readonly quotaRecent: Readonly<Record<string, number>>;
+  /** Whether the entry has known all that was taken for a whole window. */
+  readonly knowsWindow: boolean;
   /** It serves nothing more after this. */
   readonly isLeaving: boolean;
 }
--- a/packages/routing/src/peers/receiveDigest.ts
+++ b/packages/routing/src/peers/receiveDigest.ts
@@ -1,4 +1,5 @@
 import { chargeQuota } from '../quota/chargeQuota.js';
+import { learnQuotas } from '../quota/learnQuotas.js';
 import { newQuotaAccount } from '../quota/newQuotaAccount.js';
 import type { RoutingState } from '../routingState.js';
 import type { Scope } from '../steps/scope.js';
@@ -43,9 +44,10 @@
   if (known !== undefined && isOutdated(known.digest, digest)) {
     return state;
   }
+  const learned = digest.knowsWindow ? learnQuotas(state, digest.quotaRecent, scope) : state;
   return {
-    ...state,
-    quotas: chargeQuotas(state, digest, known, scope),
+    ...learned,
+    quotas: chargeQuotas(learned, digest, known, scope),
     peers: state.peers.set(digest.host, { digest, heardMs: scope.nowMs }),
   };
 };
--- a/packages/routing/src/quota/getQuotaWaitMs.ts
+++ b/packages/routing/src/quota/getQuotaWaitMs.ts
@@ -1,3 +1,4 @@
+import { getQuotaTaken } from './getQuotaTaken.js';
 import type { QuotaAccount } from './quotaAccount.js';
 
 /** How long until the cost fits into the allowance of a window, in milliseconds; 0 where it does now. */
@@ -15,7 +16,7 @@
   readonly windowMs: number;
 }): number => {
   const recent = account.spans.filter(({ startMs }) => startMs > nowMs - windowMs);
-  let excess = recent.reduce((sum, { taken }) => sum + taken, 0) + cost - allowance;
+  let excess = getQuotaTaken(account, nowMs, windowMs) + cost - allowance;
   if (excess <= 0 || recent.length === 0) {
     return 0;
   }
--- a/packages/routing/src/quota/takeQuota.ts
+++ b/packages/routing/src/quota/takeQuota.ts
@@ -3,11 +3,19 @@
 import type { RoutingState } from '../routingState.js';
 import type { Scope } from '../steps/scope.js';
 import { chargeQuota } from './chargeQuota.js';
+import { getKnownQuotaShare } from './getKnownQuotaShare.js';
 import { getQuotaAllowance } from './getQuotaAllowance.js';
 import { getQuotaCost } from './getQuotaCost.js';
 import { getQuotaWaitMs } from './getQuotaWaitMs.js';
 import { newQuotaAccount } from './newQuotaAccount.js';
 
+/**
+ * The part of an allowance that may be taken within a part of its window, so that entries which all forgot what was
+ * taken, as after a loss of power, find little of it near.
+ */
+const BURST_SHARE = 0.4;
+const BURST_WINDOW_SHARE = 0.25;
+
 interface TakenQuota {
   readonly state: RoutingState;
   readonly cost: number;
@@ -20,8 +28,9 @@
   state: RoutingState,
   team: RoutedTeam | undefined,
   tokens: number | undefined,
-  { settings: { quotaWindowMs: windowMs }, nowMs }: Scope,
+  { settings, nowMs }: Scope,
 ): TakenQuota => {
+  const { quotaWindowMs: windowMs } = settings;
   const quota = team?.quota;
   if (team === undefined || quota === undefined || quota.perSecond <= 0) {
     return { state, cost: 0, waitMs: 0 };
@@ -29,8 +38,18 @@
   const account = state.quotas.get(team.name) ?? newQuotaAccount();
   const cost = getQuotaCost(quota, tokens);
   const share = getQuotaShare([...state.peers.values()], nowMs);
+  const knownShare = getKnownQuotaShare(state, settings, nowMs);
   const allowance = getQuotaAllowance(quota, windowMs) * share;
-  const waitMs = getQuotaWaitMs({ account, allowance, cost, nowMs, windowMs });
+  const waitMs = Math.max(
+    getQuotaWaitMs({ account, allowance: allowance * knownShare, cost, nowMs, windowMs }),
+    getQuotaWaitMs({
+      account,
+      allowance: allowance * BURST_SHARE,
+      cost,
+      nowMs,
+      windowMs: windowMs * BURST_WINDOW_SHARE,
+    }),
+  );
   if (waitMs > 0) {
     return { state, cost, waitMs };
   }
--- a/packages/routing/src/retries/countSend.ts
+++ b/packages/routing/src/retries/countSend.ts
@@ -17,8 +17,7 @@
   const startMs = Math.floor(nowMs / SPAN_MS) * SPAN_MS;
   const kept = counts.filter((count) => count.startMs > nowMs - windowMs - SPAN_MS);
   const last = kept.at(-1);
-  const current =
-    last?.startMs === startMs ? last : { startMs, requests: 0, repeats: 0 };
+  const current = last?.startMs === startMs ? last : { startMs, requests: 0, repeats: 0 };
   const added =
     what === 'request'
       ? { ...current, requests: current.requests + 1 }
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -25,6 +25,8 @@
   /** Ends the caller's connection in the middle of an answer. */
   | { readonly type: 'breakOff'; readonly requestId: number }
   | { readonly type: 'sendDigest'; readonly digest: PeerDigest }
+  /** Keeps what was taken of the quotas for entries that start after all have stopped. */
+  | { readonly type: 'rememberQuotas'; readonly taken: Readonly<Record<string, number>> }
   | {
       readonly type: 'observe';
       readonly name: string;
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -34,5 +34,7 @@
   | { readonly type: 'configurationConfirmed'; readonly confirmed: Confirmation }
   | { readonly type: 'targetsListed'; readonly targets: readonly ListedTarget[] }
   | { readonly type: 'digestReceived'; readonly digest: PeerDigest }
+  /** What was taken of the quotas before this entry started, by team, as it was kept for that. */
+  | { readonly type: 'quotasRecalled'; readonly taken: Readonly<Record<string, number>> }
   | { readonly type: 'leaving' }
   | { readonly type: 'ticked' };
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -26,6 +26,10 @@
   readonly retryCounts: Map<string, readonly RetryCount[]>;
   /** By service. */
   readonly paces: Map<string, ServicePace>;
+  /** From here on all that was taken of the quotas is known, in milliseconds of the steady clock. */
+  readonly quotasKnownSinceMs: number;
+  /** When this entry last kept what was taken, in milliseconds of the steady clock. */
+  readonly rememberedMs: number;
   readonly nextSendId: number;
   readonly digestSequence: number;
   readonly isLeaving: boolean;
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -92,8 +92,7 @@
   }
   const { route, service, team } = admission;
   const { promptTokens, maxOutputTokens } = arrival;
-  const tokens =
-    promptTokens === undefined ? undefined : promptTokens + (maxOutputTokens ?? 0);
+  const tokens = promptTokens === undefined ? undefined : promptTokens + (maxOutputTokens ?? 0);
   const counted = noteSend(state, service, 'request', scope);
   const taken = takeQuota(counted, team, tokens, scope);
   if (taken.waitMs > 0) {
--- a/packages/routing/src/steps/checkRequest.ts
+++ b/packages/routing/src/steps/checkRequest.ts
@@ -27,11 +27,7 @@
   return nowMs + request.promptTokens * pace.prefillMsPerToken >= request.patienceAtMs;
 };
 
-const isWorthMoving = (
-  state: RoutingState,
-  request: TrackedRequest,
-  scope: Scope,
-): boolean =>
+const isWorthMoving = (state: RoutingState, request: TrackedRequest, scope: Scope): boolean =>
   isSilent(request, scope.nowMs) &&
   isRepeatable(request.route) &&
   request.arrivals < request.route.maxAttempts &&
--- a/packages/routing/src/steps/dropCaller.ts
+++ b/packages/routing/src/steps/dropCaller.ts
@@ -11,11 +11,7 @@
 import type { Scope } from './scope.js';
 
 /** The caller has gone: what it asked for is stopped. */
-export const dropCaller = (
-  state: RoutingState,
-  request: TrackedRequest,
-  scope: Scope,
-): Outcome => {
+export const dropCaller = (state: RoutingState, request: TrackedRequest, scope: Scope): Outcome => {
   const { requestId, send } = request;
   const settled = request.mayHaveRun ? state : returnQuota(state, request);
   const dropped = keep(
--- a/packages/routing/src/steps/tick.ts
+++ b/packages/routing/src/steps/tick.ts
@@ -1,4 +1,5 @@
 import { newDigest } from '../peers/newDigest.js';
+import { rememberQuotas } from '../quota/rememberQuotas.js';
 import type { RoutingState } from '../routingState.js';
 import { andThen } from './andThen.js';
 import { checkRequest } from './checkRequest.js';
@@ -19,8 +20,9 @@
       dispatchWaiting(next, service, scope),
     ),
   );
-  return andThen(dispatched, (current) => {
+  const remembered = andThen(dispatched, (current) => rememberQuotas(current, scope));
+  return andThen(remembered, (current) => {
     const counted = { ...current, digestSequence: current.digestSequence + 1 };
-    return keep(counted, { type: 'sendDigest', digest: newDigest(counted, scope.settings) });
+    return keep(counted, { type: 'sendDigest', digest: newDigest(counted, scope) });
   });
 };
