--- a/packages/platform/tests/createLogClient.test.ts
+++ b/packages/clients/tests/createLogClient.test.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { describe, expect, test } from 'vitest';
-import { createHostListClient, createLogClient, type LogClient } from '@parsleyhall/platform';
+import { createHostListClient, createLogClient, type LogClient } from '@parsleyhall/clients';
 import { startTestServer } from './startTestServer.js';
 
 type Answer = (response: ServerResponse) => void;
--- a/packages/platform/tests/followStream.test.ts
+++ b/packages/clients/tests/followStream.test.ts
@@ -1,6 +1,6 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { expect, test } from 'vitest';
-import { followStream, type LogFailure, type LogPage } from '@parsleyhall/platform';
+import { followStream, type LogFailure, type LogPage } from '@parsleyhall/clients';
 
 const newPage = (from: number, nextOffset: number): Either<LogFailure, LogPage> =>
   Right({ from, earliestOffset: 1, nextOffset, endOffset: 99, records: [] });
--- a/packages/daemon/src/entryShell/describeReporter.ts
+++ b/packages/daemon/src/entryShell/describeReporter.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationState } from '@parsleyhall/configuration';
 import type { EntrySettings } from '@parsleyhall/entry';
-import type { ReportRecord } from '@parsleyhall/platform';
+import type { ReportRecord } from '@parsleyhall/clients';
 
 /** Who writes a summary for the burn report, and under which configuration. */
 export const describeReporter = (
--- a/packages/daemon/src/entryShell/getEntryStatus.ts
+++ b/packages/daemon/src/entryShell/getEntryStatus.ts
@@ -1,6 +1,6 @@
 import type { Tier } from '@parsleyhall/common';
 import type { EntrySettings, EntryState, SideLink } from '@parsleyhall/entry';
-import type { ProcessStatus } from '@parsleyhall/platform';
+import type { ProcessStatus } from '@parsleyhall/clients';
 import type { CallerRegistry } from '../callers/callerRegistry.js';
 import type { Metrics } from '../metrics/metrics.js';
 
--- a/packages/daemon/src/entryShell/toListedHosts.ts
+++ b/packages/daemon/src/entryShell/toListedHosts.ts
@@ -1,5 +1,5 @@
 import type { SideId } from '@parsleyhall/common';
-import type { HostList } from '@parsleyhall/platform';
+import type { HostList } from '@parsleyhall/clients';
 import type { EntryEventBody } from './entryEventBody.js';
 
 /** The platform's list as the entry's event. */
--- a/packages/daemon/src/keyLog/createKeyAppender.ts
+++ b/packages/daemon/src/keyLog/createKeyAppender.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { KeyRecord } from '@parsleyhall/entry';
-import type { LogClient, LogFailure } from '@parsleyhall/platform';
+import type { LogClient, LogFailure } from '@parsleyhall/clients';
 import { getKeyStream } from './getKeyStream.js';
 import { getRecordIdentity } from './getRecordIdentity.js';
 import type { KeyAppender } from './keyAppender.js';
--- a/packages/daemon/src/keyLog/startKeyLog.ts
+++ b/packages/daemon/src/keyLog/startKeyLog.ts
@@ -1,6 +1,6 @@
 import type { KeyRecord } from '@parsleyhall/entry';
-import { followStream } from '@parsleyhall/platform';
-import type { LogClient, LogFailure, LogPage } from '@parsleyhall/platform';
+import { followStream } from '@parsleyhall/clients';
+import type { LogClient, LogFailure, LogPage } from '@parsleyhall/clients';
 import type { EntryEventBody } from '../entryShell/entryEventBody.js';
 import { createKeyAppender } from './createKeyAppender.js';
 import { getKeyStream } from './getKeyStream.js';
--- a/packages/daemon/src/keyLog/toKeyRecords.ts
+++ b/packages/daemon/src/keyLog/toKeyRecords.ts
@@ -1,5 +1,5 @@
 import type { KeyRecord } from '@parsleyhall/entry';
-import type { LogRecord } from '@parsleyhall/platform';
+import type { LogRecord } from '@parsleyhall/clients';
 import { keyRecordSchema } from './keyRecordSchema.js';
 
 /** The key records among a page's records, with their offsets. */
--- a/packages/daemon/src/operators/startOperatorListener.ts
+++ b/packages/daemon/src/operators/startOperatorListener.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import { H3, toNodeHandler } from 'h3';
-import type { ProcessStatus } from '@parsleyhall/platform';
+import type { ProcessStatus } from '@parsleyhall/clients';
 import { closeHttp } from '../process/closeHttp.js';
 import type { ListenerAddress } from '../process/listenerAddress.js';
 import { listenHttp } from '../process/listenHttp.js';
--- a/packages/daemon/src/platformReaders/pollHostList.ts
+++ b/packages/daemon/src/platformReaders/pollHostList.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from 'node:timers/promises';
-import type { HostList, HostListClient, PlatformFailure } from '@parsleyhall/platform';
+import type { HostList, HostListClient, PlatformFailure } from '@parsleyhall/clients';
 
 /** Reads the list of hosts again and again until disposed of. */
 export const pollHostList = ({
--- a/packages/daemon/src/platformReaders/startConfigurationFollower.ts
+++ b/packages/daemon/src/platformReaders/startConfigurationFollower.ts
@@ -13,8 +13,8 @@
   ConfigurationState,
   OffsetVerdict,
 } from '@parsleyhall/configuration';
-import { followStream } from '@parsleyhall/platform';
-import type { LogClient, LogFailure } from '@parsleyhall/platform';
+import { followStream } from '@parsleyhall/clients';
+import type { LogClient, LogFailure } from '@parsleyhall/clients';
 import type { ConfigurationFollower } from './configurationFollower.js';
 
 const FIRST_OFFSET = 1;
--- a/packages/daemon/src/process/faultNotes.ts
+++ b/packages/daemon/src/process/faultNotes.ts
@@ -1,6 +1,6 @@
 import type { MalformedMessage } from '@parsleyhall/protocol';
 import type { ConfigurationState, OffsetVerdict } from '@parsleyhall/configuration';
-import type { LogFailure, PlatformFailure } from '@parsleyhall/platform';
+import type { LogFailure, PlatformFailure } from '@parsleyhall/clients';
 
 /** Log lines and counters of what both kinds of process meet. */
 export interface FaultNotes {
--- a/packages/daemon/src/report/createReportAccount.ts
+++ b/packages/daemon/src/report/createReportAccount.ts
@@ -1,7 +1,7 @@
 import { encodeIntoCompressedBase64 } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import type { TeamName, Tier } from '@parsleyhall/common';
-import type { ReportRow } from '@parsleyhall/platform';
+import type { ReportRow } from '@parsleyhall/clients';
 import type { CallerOutcome } from '../callers/callerOutcome.js';
 import { newDurationHistogram } from '../metrics/newDurationHistogram.js';
 import type { ReportAccount } from './reportAccount.js';
--- a/packages/daemon/src/report/reportAccount.ts
+++ b/packages/daemon/src/report/reportAccount.ts
@@ -1,4 +1,4 @@
-import type { ReportRow } from '@parsleyhall/platform';
+import type { ReportRow } from '@parsleyhall/clients';
 import type { CallerOutcome } from '../callers/callerOutcome.js';
 
 /** Adds up what became of the callers' requests until the next report. */
--- a/packages/daemon/src/report/startReporter.ts
+++ b/packages/daemon/src/report/startReporter.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
-import { REPORT_STREAM } from '@parsleyhall/platform';
-import type { LogClient, LogFailure, ReportRecord } from '@parsleyhall/platform';
+import { REPORT_STREAM } from '@parsleyhall/clients';
+import type { LogClient, LogFailure, ReportRecord } from '@parsleyhall/clients';
 import type { ReportAccount } from './reportAccount.js';
 import type { Reporter } from './reporter.js';
 
--- a/packages/daemon/src/sideShell/getSideStatus.ts
+++ b/packages/daemon/src/sideShell/getSideStatus.ts
@@ -1,4 +1,4 @@
-import type { ProcessStatus } from '@parsleyhall/platform';
+import type { ProcessStatus } from '@parsleyhall/clients';
 import type { SideSettings, SideState } from '@parsleyhall/side';
 import type { Metrics } from '../metrics/metrics.js';
 
--- a/packages/daemon/src/sideShell/startSide.ts
+++ b/packages/daemon/src/sideShell/startSide.ts
@@ -1,8 +1,8 @@
 import { v7 as newUuid } from 'uuid';
 import type { Incarnation } from '@parsleyhall/common';
 import type { ConfigurationState } from '@parsleyhall/configuration';
-import { createHostListClient, createLogClient } from '@parsleyhall/platform';
-import type { HostList } from '@parsleyhall/platform';
+import { createHostListClient, createLogClient } from '@parsleyhall/clients';
+import type { HostList } from '@parsleyhall/clients';
 import { createSideReducer } from '@parsleyhall/side';
 import type { SideEffect, SideEvent, SideState } from '@parsleyhall/side';
 import { startLinkServer } from '../link/startLinkServer.js';
--- a/packages/daemon/src/target/followTarget.ts
+++ b/packages/daemon/src/target/followTarget.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { z } from 'zod';
 import { Pool } from 'undici';
-import { requestJson } from '@parsleyhall/platform';
+import { requestJson } from '@parsleyhall/clients';
 import type { SideEventBody } from '../sideShell/sideEventBody.js';
 
 const ANSWER_TIMEOUT_MS = 2_000;
--- a/packages/daemon/tests/keyAppender.test.ts
+++ b/packages/daemon/tests/keyAppender.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import type { KeyRecord } from '@parsleyhall/entry';
-import type { AppendedRange, LogClient, LogFailure, LogPage } from '@parsleyhall/platform';
+import type { AppendedRange, LogClient, LogFailure, LogPage } from '@parsleyhall/clients';
 import { createKeyAppender } from '../src/keyLog/createKeyAppender.js';
 
 type Step = 'taken' | 'refused' | 'lost' | 'lostAfterEffect';
--- a/packages/daemon/tests/support/waitUntilServing.ts
+++ b/packages/daemon/tests/support/waitUntilServing.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from 'node:timers/promises';
-import type { ProcessStatus } from '@parsleyhall/platform';
+import type { ProcessStatus } from '@parsleyhall/clients';
 import type { DaemonProcess } from './daemonProcess.js';
 
 const POLL_MS = 20;
--- a/packages/daemon/tests/wholePath.test.ts
+++ b/packages/daemon/tests/wholePath.test.ts
@@ -1,6 +1,6 @@
 import { v7 as newUuid } from 'uuid';
 import { expect, test } from 'vitest';
-import { createLogClient, REPORT_STREAM, reportRecordSchema } from '@parsleyhall/platform';
+import { createLogClient, REPORT_STREAM, reportRecordSchema } from '@parsleyhall/clients';
 import { getExpectedServiceAnswer } from '@parsleyhall/stand-ins';
 import { ask } from './support/ask.js';
 import { getExpectedBody } from './support/getExpectedBody.js';
--- a/packages/operator/src/commandLine/createOperatorWorld.ts
+++ b/packages/operator/src/commandLine/createOperatorWorld.ts
@@ -12,7 +12,7 @@
   type ProcessStatus,
   processStatusSchema,
   requestJson,
-} from '@parsleyhall/platform';
+} from '@parsleyhall/clients';
 import type { OperatorWorld } from './operatorWorld.js';
 
 const STATUS_TIMEOUT_MS = 2_000;
--- a/packages/operator/src/commandLine/operatorSession.ts
+++ b/packages/operator/src/commandLine/operatorSession.ts
@@ -1,4 +1,4 @@
-import type { HostListClient, LogClient } from '@parsleyhall/platform';
+import type { HostListClient, LogClient } from '@parsleyhall/clients';
 import type { OperatorSettings } from '../settings/operatorSettings.js';
 import type { OperatorWorld } from './operatorWorld.js';
 
--- a/packages/operator/src/commandLine/operatorWorld.ts
+++ b/packages/operator/src/commandLine/operatorWorld.ts
@@ -4,7 +4,7 @@
   LogClient,
   PlatformFailure,
   ProcessStatus,
-} from '@parsleyhall/platform';
+} from '@parsleyhall/clients';
 import type { OperatorFailure } from '../failure/operatorFailure.js';
 
 /** What the commands do to the world, handed in so that tests can stand in for it. */
--- a/packages/operator/src/configuration/readHistory.ts
+++ b/packages/operator/src/configuration/readHistory.ts
@@ -1,6 +1,6 @@
 import { EitherAsync } from 'purify-ts';
 import { hasGap } from '@parsleyhall/configuration';
-import type { LogClient } from '@parsleyhall/platform';
+import type { LogClient } from '@parsleyhall/clients';
 import type { OperatorFailure } from '../failure/operatorFailure.js';
 import type { ConfigurationHistory } from './configurationHistory.js';
 import { EMPTY_HISTORY } from './emptyHistory.js';
--- a/packages/operator/src/configuration/readHistoryPage.ts
+++ b/packages/operator/src/configuration/readHistoryPage.ts
@@ -1,6 +1,6 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { CONFIGURATION_STREAM, readConfigurationPage } from '@parsleyhall/configuration';
-import type { LogClient, LogFailure, LogPage } from '@parsleyhall/platform';
+import type { LogClient, LogFailure, LogPage } from '@parsleyhall/clients';
 import type { ConfigurationHistory } from './configurationHistory.js';
 
 const PAGE_RECORDS = 256;
--- a/packages/operator/src/failure/formatFailure.ts
+++ b/packages/operator/src/failure/formatFailure.ts
@@ -1,6 +1,6 @@
 import { assertNever } from '@parsleyhall/common';
 import type { ConfigurationVerdict } from '@parsleyhall/configuration';
-import type { LogFailure } from '@parsleyhall/platform';
+import type { LogFailure } from '@parsleyhall/clients';
 import { formatTable } from '../commandLine/formatTable.js';
 import type { OperatorFailure } from './operatorFailure.js';
 
--- a/packages/operator/src/failure/operatorFailure.ts
+++ b/packages/operator/src/failure/operatorFailure.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationVerdict, DocumentFault } from '@parsleyhall/configuration';
-import type { LogFailure, PlatformFailure } from '@parsleyhall/platform';
+import type { LogFailure, PlatformFailure } from '@parsleyhall/clients';
 
 /** Why a command did not do what it was asked. */
 export type OperatorFailure =
--- a/packages/operator/src/key/readKey.ts
+++ b/packages/operator/src/key/readKey.ts
@@ -7,7 +7,7 @@
   getKeyStream,
   keyRecordSchema,
 } from '@parsleyhall/entry';
-import type { LogFailure, LogRecord } from '@parsleyhall/platform';
+import type { LogFailure, LogRecord } from '@parsleyhall/clients';
 import type { OperatorSession } from '../commandLine/operatorSession.js';
 import type { OperatorFailure } from '../failure/operatorFailure.js';
 import type { KeyReading } from './keyReading.js';
--- a/packages/operator/src/report/burnSample.ts
+++ b/packages/operator/src/report/burnSample.ts
@@ -1,4 +1,4 @@
-import type { ReportRow } from '@parsleyhall/platform';
+import type { ReportRow } from '@parsleyhall/clients';
 
 /** One row of an entry's summary with the objective and price under which it arose. */
 export interface BurnSample {
--- a/packages/operator/src/report/findOffsetAt.ts
+++ b/packages/operator/src/report/findOffsetAt.ts
@@ -1,5 +1,5 @@
 import { EitherAsync } from 'purify-ts';
-import type { LogClient } from '@parsleyhall/platform';
+import type { LogClient } from '@parsleyhall/clients';
 import type { OperatorFailure } from '../failure/operatorFailure.js';
 
 /** Finds the first offset of a stream whose record was appended at a wall-clock time or later, by halving. */
--- a/packages/operator/src/report/getBurnSamples.ts
+++ b/packages/operator/src/report/getBurnSamples.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationDocument, Preset } from '@parsleyhall/configuration';
-import type { ReportRecord } from '@parsleyhall/platform';
+import type { ReportRecord } from '@parsleyhall/clients';
 import type { BurnSample } from './burnSample.js';
 
 // A summary under a preset that has since been removed is judged by the one in force.
--- a/packages/operator/src/report/readReportRecords.ts
+++ b/packages/operator/src/report/readReportRecords.ts
@@ -5,7 +5,7 @@
   REPORT_STREAM,
   type ReportRecord,
   reportRecordSchema,
-} from '@parsleyhall/platform';
+} from '@parsleyhall/clients';
 import type { OperatorFailure } from '../failure/operatorFailure.js';
 import { findOffsetAt } from './findOffsetAt.js';
 
--- a/packages/operator/src/status/collectStatus.ts
+++ b/packages/operator/src/status/collectStatus.ts
@@ -1,5 +1,5 @@
 import { EitherAsync, Left } from 'purify-ts';
-import type { ListedProcess, PlatformFailure } from '@parsleyhall/platform';
+import type { ListedProcess, PlatformFailure } from '@parsleyhall/clients';
 import type { OperatorSession } from '../commandLine/operatorSession.js';
 import type { OperatorWorld } from '../commandLine/operatorWorld.js';
 import type { OperatorFailure } from '../failure/operatorFailure.js';
--- a/packages/operator/src/status/formatStatus.ts
+++ b/packages/operator/src/status/formatStatus.ts
@@ -1,4 +1,4 @@
-import type { ProcessStatus } from '@parsleyhall/platform';
+import type { ProcessStatus } from '@parsleyhall/clients';
 import { formatTable } from '../commandLine/formatTable.js';
 import type { ProcessReport } from './processReport.js';
 
--- a/packages/operator/src/status/processReport.ts
+++ b/packages/operator/src/status/processReport.ts
@@ -1,5 +1,5 @@
 import type { Either } from 'purify-ts';
-import type { ListedProcess, PlatformFailure, ProcessStatus } from '@parsleyhall/platform';
+import type { ListedProcess, PlatformFailure, ProcessStatus } from '@parsleyhall/clients';
 
 /** A listed process and what it said of itself. */
 export interface ProcessReport {
--- a/packages/operator/tests/createMemoryLog.ts
+++ b/packages/operator/tests/createMemoryLog.ts
@@ -1,6 +1,6 @@
 import { Left, Right } from 'purify-ts';
 import { CONFIGURATION_STREAM } from '@parsleyhall/configuration';
-import type { LogClient, LogRecord } from '@parsleyhall/platform';
+import type { LogClient, LogRecord } from '@parsleyhall/clients';
 
 interface MemoryLog {
   readonly client: LogClient;
--- a/packages/operator/tests/createTestOperator.ts
+++ b/packages/operator/tests/createTestOperator.ts
@@ -1,5 +1,5 @@
 import { Left, Right } from 'purify-ts';
-import type { HostList, LogClient, ProcessStatus } from '@parsleyhall/platform';
+import type { HostList, LogClient, ProcessStatus } from '@parsleyhall/clients';
 import { type OperatorWorld, parseCommandLine, runCommand } from '@parsleyhall/operator';
 
 interface CommandRun {
--- a/packages/operator/tests/reportBurn.test.ts
+++ b/packages/operator/tests/reportBurn.test.ts
@@ -1,6 +1,6 @@
 import { build, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
 import { describe, expect, test } from 'vitest';
-import { REPORT_STREAM, type ReportRecord, type ReportRow } from '@parsleyhall/platform';
+import { REPORT_STREAM, type ReportRecord, type ReportRow } from '@parsleyhall/clients';
 import { createMemoryLog } from './createMemoryLog.js';
 import { createTestOperator } from './createTestOperator.js';
 
--- a/packages/operator/tests/status.test.ts
+++ b/packages/operator/tests/status.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
 import type { HostName } from '@parsleyhall/common';
-import type { ListedProcess, ProcessStatus } from '@parsleyhall/platform';
+import type { ListedProcess, ProcessStatus } from '@parsleyhall/clients';
 import { createMemoryLog } from './createMemoryLog.js';
 import { createTestOperator } from './createTestOperator.js';
 
--- a/packages/router/src/callers/callersServer.ts
+++ b/packages/router/src/callers/callersServer.ts
@@ -2,7 +2,8 @@
 export interface CallersServer extends AsyncDisposable {
   /** Requests without their final answer. */
   readonly countOpen: () => number;
-  readonly listen: (address: string) => Promise<void>;
+  /** Answers with the address that it got. */
+  readonly listen: (address: string) => Promise<string>;
   /** Bounds how long a connection may stay idle, in milliseconds. */
   readonly setIdleTimeoutMs: (idleTimeoutMs: number) => void;
   /** Takes no new connections. */
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -1,13 +1,12 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { splitAddress } from '../process/splitAddress.js';
+import { listen } from '../process/listen.js';
 import type { CallersServer } from './callersServer.js';
 
 const MAX_HEADER_BYTES = 65_536;
 const HEADERS_TIMEOUT_MS = 10_000;
 const CHECK_INTERVAL_MS = 1_000;
 const FIRST_IDLE_TIMEOUT_MS = 15_000;
-const BACKLOG = 4_096;
 
 /** Creates the server for callers over the plain HTTP library, since a relay needs the connections themselves. */
 export const createCallersServer = (
@@ -33,11 +32,7 @@
   );
   return {
     countOpen: () => open,
-    listen: (address) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({ ...splitAddress(address), backlog: BACKLOG }, resolve);
-      }),
+    listen: (address) => listen(server, address),
     setIdleTimeoutMs: (idleTimeoutMs) => {
       server.keepAliveTimeout = idleTimeoutMs;
     },
--- a/packages/router/src/callers/createRelay.ts
+++ b/packages/router/src/callers/createRelay.ts
@@ -16,7 +16,7 @@
     | { readonly status: number; readonly headers: RawHeaders; readonly hasLength: boolean }
     | undefined;
 
-  const sendHead = (): void => {
+  const sendHead = (bodyLength?: number): void => {
     if (response.headersSent || head === undefined) {
       return;
     }
@@ -25,7 +25,12 @@
     }
     // An answer that ended with its connection must not be framed as whole: its caller's ends so too.
     response.useChunkedEncodingByDefault = head.hasLength;
-    response.writeHead(head.status, [...selectHeaders(head.headers, NOTHING_LEFT_OUT)]);
+    response.writeHead(head.status, [
+      ...selectHeaders(head.headers, NOTHING_LEFT_OUT),
+      ...(bodyLength === undefined || !head.hasLength
+        ? []
+        : ['Content-Length', String(bodyLength)]),
+    ]);
   };
 
   return {
@@ -34,7 +39,9 @@
     getEvents: () => events,
     hasHead: () => response.headersSent,
     takeHead: (status, raw, hasLength) => {
-      head ??= { status, headers: raw, hasLength };
+      if (!response.headersSent) {
+        head = { status, headers: raw, hasLength };
+      }
     },
     write: (bytes, eventId) => {
       sendHead();
@@ -48,5 +55,9 @@
       sendHead();
       response.end();
     },
+    endWith: (body) => {
+      sendHead(body.length);
+      response.end(body);
+    },
   };
 };
--- a/packages/router/src/callers/relay.ts
+++ b/packages/router/src/callers/relay.ts
@@ -7,9 +7,11 @@
   readonly getLastEventId: () => string | undefined;
   readonly getEvents: () => number;
   readonly hasHead: () => boolean;
-  /** Takes the head of a send's answer; later heads of the same request are dropped. */
+  /** Takes the head of a send's answer, unless the caller has one already. */
   readonly takeHead: (status: number, headers: RawHeaders, hasLength: boolean) => void;
   /** Hands whole bytes on; answers whether more may come at once. */
   readonly write: (bytes: Buffer, eventId?: string) => boolean;
   readonly end: () => void;
+  /** Hands a whole body on and ends the answer. */
+  readonly endWith: (body: Buffer) => void;
 }
--- a/packages/router/src/calls/createWholeSink.ts
+++ b/packages/router/src/calls/createWholeSink.ts
@@ -46,8 +46,13 @@
       if (!isRelayed) {
         return;
       }
-      release();
-      relay.end();
+      if (relay.hasHead()) {
+        release();
+        relay.end();
+      } else if (head !== undefined) {
+        relay.takeHead(head.status, head.raw, head.hasLength);
+        relay.endWith(Buffer.concat(held));
+      }
       events.ended(0);
     },
     takeFailure: (failure) => {
--- a/packages/router/src/process/startReadiness.ts
+++ b/packages/router/src/process/startReadiness.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import { splitAddress } from './splitAddress.js';
+import { listen } from './listen.js';
 
 /** Answers the platform's question whether this process takes callers. */
 export const startReadiness = async ({
@@ -10,18 +10,16 @@
   readonly address: string;
   readonly path: string;
   readonly isReady: () => boolean;
-}): Promise<AsyncDisposable> => {
+}): Promise<AsyncDisposable & { readonly address: string }> => {
   const server = createServer((request, response) => {
     request.resume();
     const status = request.url === path ? (isReady() ? 200 : 503) : 404;
     response.writeHead(status, { 'content-length': '0' });
     response.end();
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(splitAddress(address), resolve);
-  });
+  const bound = await listen(server, address);
   return {
+    address: bound,
     [Symbol.asyncDispose]: () =>
       new Promise((resolve) => {
         server.close(() => {
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -305,8 +305,8 @@
     path: settings.readinessPath,
     isReady,
   });
-  await callers.listen(settings.callersAddress);
-  logger.info({ event: 'started', address: settings.callersAddress }, 'started');
+  const callersAddress = await callers.listen(settings.callersAddress);
+  logger.info({ event: 'started', address: callersAddress }, 'started');
 
   platform.follow({
     takeConfiguration: (configuration) => {
@@ -362,6 +362,8 @@
   };
 
   return {
+    callersAddress,
+    readinessAddress: readiness.address,
     requestStop,
     whenStopped,
     [Symbol.asyncDispose]: async () => {
--- a/packages/router/src/targets/createTargetCaller.ts
+++ b/packages/router/src/targets/createTargetCaller.ts
@@ -79,14 +79,10 @@
       sink.takeFailure(hasLeft ? 'broken' : 'neverSent', error);
     };
 
-    const finish = (): void => {
+    const complete = (): void => {
       if (isOver) {
         return;
       }
-      if (!hasLength && connection.wasReset()) {
-        fail(new Error('the connection was reset before the end of an answer without a length'));
-        return;
-      }
       isOver = true;
       if (mayKeep) {
         giveBack(address, connection);
@@ -96,6 +92,20 @@
       sink.takeEnd();
     };
 
+    const finish = (): void => {
+      if (hasLength) {
+        complete();
+        return;
+      }
+      connection.checkReset((wasReset) => {
+        if (wasReset) {
+          fail(new Error('the connection was reset before the end of an answer without a length'));
+          return;
+        }
+        complete();
+      });
+    };
+
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart: (started) => {
         controller = started;
--- a/packages/router/src/targets/openConnection.ts
+++ b/packages/router/src/targets/openConnection.ts
@@ -13,7 +13,7 @@
 const connectTo = (address: string): Promise<Socket> =>
   new Promise((resolve, reject) => {
     const [host = '', port = ''] = address.split(':');
-    const socket = connect({ host, port: Number(port), noDelay: true });
+    const socket = connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true });
     const timer = setTimeout(() => {
       socket.destroy(new Error(`no connection to ${address} after ${CONNECT_TIMEOUT_MS} ms`));
     }, CONNECT_TIMEOUT_MS);
@@ -31,6 +31,7 @@
 /** Prepares a connection; it is made with the first request. */
 export const openConnection = (address: string): TargetConnection => {
   let wasReset = false;
+  let opened: Socket | undefined;
   const client = new Client(`http://${address}`, {
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
@@ -40,6 +41,7 @@
     connect: (_, callback) => {
       connectTo(address).then(
         (socket) => {
+          opened = socket;
           // The client takes a reset of an answer without a length for its end, so resets are noted here first.
           socket.prependListener('error', () => {
             wasReset = true;
@@ -52,5 +54,17 @@
       );
     },
   });
-  return { client, wasReset: () => wasReset };
+  return {
+    client,
+    checkReset: (take) => {
+      if (wasReset || opened === undefined || opened.destroyed) {
+        take(wasReset);
+        return;
+      }
+      // A reset that comes along with the last bytes is read as an orderly end; only a write shows it.
+      opened.write(Buffer.alloc(0), (error) => {
+        take(wasReset || (error !== null && error !== undefined));
+      });
+    },
+  };
 };
--- /dev/null
+++ b/packages/router/tests/rawTarget.ts
@@ -0,0 +1,80 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+
+interface RawRequest {
+  readonly head: string;
+  readonly socket: Socket;
+  /** The header's value; undefined where it was not sent. */
+  readonly getHeader: (name: string) => string | undefined;
+}
+
+/** A target that speaks whatever bytes the test writes. */
+export interface RawTarget extends AsyncDisposable {
+  readonly address: string;
+  /** Connections that were made so far. */
+  readonly countConnections: () => number;
+  /** Resolves with each request of the queue in turn. */
+  readonly nextRequest: () => Promise<RawRequest>;
+}
+
+/** Requests of one target, or of several that share it. */
+export class RequestQueue {
+  private readonly waiting: ((request: RawRequest) => void)[] = [];
+  private readonly ready: RawRequest[] = [];
+
+  take(request: RawRequest): void {
+    const next = this.waiting.shift();
+    if (next === undefined) {
+      this.ready.push(request);
+      return;
+    }
+    next(request);
+  }
+
+  next(): Promise<RawRequest> {
+    return new Promise((resolve) => {
+      const request = this.ready.shift();
+      if (request === undefined) {
+        this.waiting.push(resolve);
+        return;
+      }
+      resolve(request);
+    });
+  }
+}
+
+export const startRawTarget = async (queue = new RequestQueue()): Promise<RawTarget> => {
+  const sockets = new Set<Socket>();
+  let connections = 0;
+
+  const server = createServer((socket) => {
+    connections += 1;
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    let text = '';
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1');
+      for (let end = text.indexOf('\r\n\r\n'); end >= 0; end = text.indexOf('\r\n\r\n')) {
+        const head = text.slice(0, end);
+        text = text.slice(end + 4);
+        const getHeader = (name: string): string | undefined =>
+          new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]?.trim();
+        queue.take({ head, socket, getHeader });
+      }
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    countConnections: () => connections,
+    nextRequest: () => queue.next(),
+    [Symbol.asyncDispose]: () =>
+      new Promise((resolve) => {
+        sockets.forEach((socket) => socket.destroy());
+        server.close(() => {
+          resolve();
+        });
+      }),
+  };
+};
--- /dev/null
+++ b/packages/router/tests/router.test.ts
@@ -0,0 +1,216 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { describe, expect, it } from 'vitest';
+import type { RunningRouter } from '../src/index.js';
+import { RequestQueue, startRawTarget } from './rawTarget.js';
+import { startTestRouter } from './routerHarness.js';
+
+interface RawCaller {
+  readonly socket: Socket;
+  /** All that came, once the connection has ended. */
+  readonly whenEnded: Promise<string>;
+  /** Resolves once the text is among what came. */
+  readonly waitFor: (text: string) => Promise<string>;
+}
+
+const call = (router: RunningRouter, path: string, headers = ''): RawCaller => {
+  const [host = '', port = ''] = router.callersAddress.split(':');
+  const socket = connect({ host, port: Number(port) });
+  let seen = '';
+  const checks = new Set<() => void>();
+  socket.on('error', () => undefined);
+  socket.on('data', (bytes) => {
+    seen += bytes.toString('latin1');
+    checks.forEach((check) => {
+      check();
+    });
+  });
+  socket.write(`GET ${path} HTTP/1.1\r\nHost: ${host}\r\nAttempt: a1\r\n${headers}\r\n`);
+  return {
+    socket,
+    whenEnded: new Promise((resolve) => {
+      socket.once('close', () => {
+        resolve(seen);
+      });
+    }),
+    waitFor: (text) =>
+      new Promise((resolve) => {
+        const check = (): void => {
+          if (seen.includes(text)) {
+            checks.delete(check);
+            resolve(seen);
+          }
+        };
+        checks.add(check);
+        check();
+      }),
+  };
+};
+
+const CLOSE = 'Connection: close\r\n';
+const HEAD = 'HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n';
+const STREAM_HEAD = `${HEAD}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+const toChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+const toEvent = (id: number): string => `id: ${id}\ndata: ${id}\n\n`;
+
+describe('an answer without a length', () => {
+  it('is handed on without one, since its end proves nothing', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/nonIdempotent/x');
+    const { socket } = await target.nextRequest();
+    socket.end(`${HEAD}\r\nhalf`);
+    const answer = (await caller.whenEnded).toLowerCase();
+    expect(answer).toContain('200 ok');
+    expect(answer).toContain('connection: close');
+    expect(answer).toMatch(/\r\n\r\nhalf$/);
+    expect(answer).not.toMatch(/content-length|transfer-encoding/);
+  });
+
+  it('is not complete where its connection was reset', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/nonIdempotent/x', CLOSE);
+    const { socket } = await target.nextRequest();
+    socket.write(`${HEAD}\r\nhalf`, () => {
+      setImmediate(() => socket.resetAndDestroy());
+    });
+    expect(await caller.whenEnded).toContain('HTTP/1.1 502');
+  });
+});
+
+describe('bytes that belong to no request', () => {
+  it('end their connection and reach nobody', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const first = call(router, '/nonIdempotent/x', CLOSE);
+    const request = await target.nextRequest();
+    request.socket.write(`${HEAD}Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n`);
+    expect(await first.whenEnded).toMatch(/ok$/);
+    const second = call(router, '/nonIdempotent/x', CLOSE);
+    const next = await target.nextRequest();
+    next.socket.write(`${HEAD}Content-Length: 3\r\n\r\nyes`);
+    expect(await second.whenEnded).toMatch(/yes$/);
+    expect(target.countConnections()).toBe(2);
+  });
+
+  it('are told apart by the attempt that they name', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/nonIdempotent/x', CLOSE);
+    const { socket } = await target.nextRequest();
+    socket.write('HTTP/1.1 200 OK\r\nAttempt: a0\r\nSeal: s\r\nContent-Length: 2\r\n\r\nno');
+    const answer = await caller.whenEnded;
+    expect(answer).toContain('HTTP/1.1 502');
+    expect(answer).toContain('outcomeUnknown');
+  });
+});
+
+describe('a cut answer', () => {
+  it('is asked for again elsewhere where it may, and comes whole', async () => {
+    const queue = new RequestQueue();
+    await using first = await startRawTarget(queue);
+    await using second = await startRawTarget(queue);
+    await using router = await startTestRouter([first, second]);
+    const caller = call(router, '/idempotent/x', CLOSE);
+    const request = await queue.next();
+    request.socket.end(`${HEAD}Content-Length: 10\r\n\r\nhalf`);
+    const again = await queue.next();
+    again.socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+    const answer = await caller.whenEnded;
+    expect(answer).toMatch(/whole$/);
+    expect(answer).not.toContain('half');
+  });
+
+  it('never looks complete', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/stream/x');
+    const { socket } = await target.nextRequest();
+    socket.write(STREAM_HEAD + toChunk(toEvent(1)));
+    await caller.waitFor('data: 1');
+    socket.destroy();
+    expect(await caller.whenEnded).not.toContain('\r\n0\r\n');
+  });
+});
+
+describe('a resumable stream', () => {
+  it('goes on at another target after its last whole event, without a gap or a repeat', async () => {
+    const queue = new RequestQueue();
+    await using first = await startRawTarget(queue);
+    await using second = await startRawTarget(queue);
+    await using router = await startTestRouter([first, second]);
+    const caller = call(router, '/resumableStream/x', CLOSE);
+    const request = await queue.next();
+    request.socket.write(STREAM_HEAD + toChunk(toEvent(1)) + toChunk(`${toEvent(2)}id: 3\nda`));
+    await caller.waitFor('data: 2');
+    request.socket.destroy();
+    const again = await queue.next();
+    expect(again.getHeader('Last-Event-Id')).toBe('2');
+    again.socket.write(`${STREAM_HEAD}${toChunk(toEvent(3) + toEvent(4))}0\r\n\r\n`);
+    const answer = await caller.whenEnded;
+    expect([...answer.matchAll(/data: (\d)/g)].map(([, id]) => id)).toEqual(['1', '2', '3', '4']);
+    expect(answer).toMatch(/0\r\n\r\n$/);
+  });
+});
+
+describe('a stream that was cut before its first event', () => {
+  it('leaves nothing of its head to the answer of the next target', async () => {
+    const queue = new RequestQueue();
+    await using first = await startRawTarget(queue);
+    await using second = await startRawTarget(queue);
+    await using router = await startTestRouter([first, second]);
+    const caller = call(router, '/resumableStream/x', CLOSE);
+    const request = await queue.next();
+    request.socket.write(STREAM_HEAD, () => request.socket.destroy());
+    const again = await queue.next();
+    again.socket.write(
+      'HTTP/1.1 500 Internal Server Error\r\nAttempt: a1\r\nSeal: t\r\nContent-Length: 3\r\n\r\nbad',
+    );
+    const answer = await caller.whenEnded;
+    expect(answer).toContain('HTTP/1.1 500');
+    expect(answer).toContain('Seal: t');
+  });
+});
+
+describe('a caller that leaves', () => {
+  it('takes its request off the target', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/nonIdempotent/x');
+    const { socket } = await target.nextRequest();
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    caller.socket.end();
+    await closed;
+    await caller.whenEnded;
+  });
+});
+
+describe('a body beyond the limit', () => {
+  it('is refused before any target sees it', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/nonIdempotent/x', 'Content-Length: 1001\r\n');
+    caller.socket.write('x'.repeat(1_001));
+    expect(await caller.whenEnded).toContain('HTTP/1.1 413');
+    expect(target.countConnections()).toBe(0);
+  });
+});
+
+describe('a planned stop', () => {
+  it('answers what is under way and says that it is not ready', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/nonIdempotent/x');
+    const { socket } = await target.nextRequest();
+    expect((await fetch(`http://${router.readinessAddress}/ready`)).status).toBe(200);
+    router.requestStop();
+    expect((await fetch(`http://${router.readinessAddress}/ready`)).status).toBe(503);
+    socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    const answer = await caller.whenEnded;
+    expect(answer).toMatch(/ok$/);
+    expect(answer.toLowerCase()).toContain('connection: close');
+    await router.whenStopped;
+  });
+});
--- /dev/null
+++ b/packages/router/tests/routerHarness.ts
@@ -0,0 +1,111 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { ListedTarget, Route, RoutingConfiguration } from '@parsleyhall/routing';
+import { startRouter } from '../src/index.js';
+import type { CallCodec, RouterInputs, RouterLogger, RunningRouter } from '../src/index.js';
+import type { RawTarget } from './rawTarget.js';
+
+const readOne = (headers: IncomingHttpHeaders, name: string): string | undefined => {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+const codec: CallCodec = {
+  readCall: (headers) => {
+    const attemptId = readOne(headers, 'attempt');
+    const lastEventId = readOne(headers, 'last-event-id');
+    return {
+      ...(attemptId === undefined ? {} : { attemptId }),
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+    };
+  },
+  ownHeaders: new Set(['last-event-id', 'team', 'left']),
+  writeCall: ({ remainingMs, lastEventId }) => [
+    'Left',
+    String(remainingMs),
+    ...(lastEventId === undefined ? [] : ['Last-Event-Id', lastEventId]),
+  ],
+  readAnswer: (_, headers) => {
+    const attemptId = readOne(headers, 'attempt');
+    return {
+      ...(attemptId === undefined ? {} : { attemptId }),
+      isSealed: headers.seal !== undefined,
+      isNotRun: headers['not-run'] !== undefined,
+    };
+  },
+};
+
+const noLogger: RouterLogger = {
+  debug: () => true,
+  info: () => true,
+  warn: () => true,
+  error: () => true,
+} as unknown as RouterLogger;
+
+const newRoute = (kind: Route['kind']): Route => ({
+  name: kind,
+  host: '127.0.0.1',
+  pathPrefix: `/${kind}/`,
+  kind,
+  destinations: [{ service: 'one', weight: 1 }],
+  timeoutMs: 30_000,
+  objectiveMs: 20_000,
+  longestSilenceMs: 30_000,
+  priority: 0,
+  maxAttempts: 2,
+  isAnonymousAllowed: true,
+});
+
+const configuration: RoutingConfiguration = {
+  version: 1,
+  routes: (['idempotent', 'nonIdempotent', 'stream', 'resumableStream'] as const).map(newRoute),
+  services: [],
+  teams: [],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
+};
+
+const toListed = ({ address }: RawTarget): ListedTarget => ({
+  id: address,
+  service: 'one',
+  address,
+  dataCentre: 'here',
+  slots: 10,
+  isLeaving: false,
+});
+
+/** Starts a router on loopback in front of these targets, with no platform behind it. */
+export const startTestRouter = async (targets: readonly RawTarget[]): Promise<RunningRouter> => {
+  let inputs: RouterInputs | undefined;
+  const router = await startRouter({
+    settings: {
+      host: 'self',
+      dataCentre: 'here',
+      ip: '127.0.0.1',
+      callersAddress: '127.0.0.1:0',
+      readinessAddress: '127.0.0.1:0',
+      readinessPath: '/ready',
+      peerPort: 0,
+      peerAddresses: [],
+      retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
+      quotaWindowMs: 8_000,
+      longestUnconfirmedMs: 4_850,
+      stopWithinMs: 8_000,
+    },
+    codec,
+    logger: noLogger,
+    platform: {
+      follow: (given) => {
+        inputs = given;
+      },
+      rememberQuotas: () => undefined,
+      [Symbol.asyncDispose]: () => Promise.resolve(),
+    },
+  });
+  inputs?.takeConfiguration(configuration);
+  inputs?.takeTargets(targets.map(toListed));
+  return router;
+};
--- /dev/null
+++ b/packages/routing/tests/order.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from 'vitest';
+import { newConfiguration, newRoute, newTargets, RoutingHarness } from './routingHarness.js';
+
+const configuration = newConfiguration({
+  routes: [
+    newRoute({ name: 'urgent', kind: 'nonIdempotent', pathPrefix: '/urgent/', priority: 0 }),
+    newRoute({ name: 'usual', kind: 'nonIdempotent', pathPrefix: '/usual/', priority: 1 }),
+  ],
+});
+
+describe('the order of waiting work', () => {
+  it('is by tier, and within one by the nearest objective that can still be met', () => {
+    const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
+    let running = entry.arrive({ path: '/usual/0' });
+    const usual = entry.arrive({ path: '/usual/1' });
+    entry.pass(50);
+    const urgent = entry.arrive({ path: '/urgent/1' });
+    const order: number[] = [];
+    for (let turn = 0; turn < 2; turn += 1) {
+      entry.end(running);
+      running = entry.sendsOf(urgent).length > 0 && !order.includes(urgent) ? urgent : usual;
+      order.push(running);
+    }
+    expect(order).toEqual([urgent, usual]);
+    expect(entry.sendsOf(usual)).toHaveLength(1);
+  });
+
+  it('puts what is late already behind what can still be on time', () => {
+    const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
+    const running = entry.arrive({ path: '/usual/0' });
+    const late = entry.arrive({ path: '/usual/1' });
+    entry.pass(600);
+    const fresh = entry.arrive({ path: '/usual/2' });
+    entry.end(running);
+    expect(entry.sendsOf(fresh)).toHaveLength(1);
+    expect(entry.sendsOf(late)).toHaveLength(0);
+  });
+
+  it('gives up at once, as not run, what cannot begin before its caller leaves', () => {
+    const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
+    entry.arrive({ path: '/usual/0' });
+    const waiting = entry.arrive({ path: '/usual/1' });
+    entry.pass(2_950);
+    expect(entry.refusalOf(waiting)).toBeUndefined();
+    entry.pass(100);
+    expect(entry.refusalOf(waiting)).toMatchObject({ status: 503, reason: 'overloaded' });
+    expect(entry.refusalOf(waiting)?.retryAfterMs).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/packages/routing/tests/routingHarness.ts
@@ -0,0 +1,206 @@
+import { createRoutingReducer, newRoutingState } from '../src/index.js';
+import type {
+  AnswerHead,
+  Arrival,
+  ListedTarget,
+  PeerDigest,
+  Refusal,
+  Route,
+  RoutingConfiguration,
+  RoutingEffect,
+  RoutingEvent,
+  RoutingSettings,
+  RoutingState,
+} from '../src/index.js';
+
+const START_MS = 100_000;
+
+export const newRoute = (changes: Partial<Route> = {}): Route => ({
+  name: 'route',
+  host: 'a.example',
+  pathPrefix: '/a/',
+  kind: 'idempotent',
+  destinations: [{ service: 'one', weight: 1 }],
+  timeoutMs: 10_000,
+  objectiveMs: 500,
+  longestSilenceMs: 3_000,
+  priority: 1,
+  maxAttempts: 2,
+  isAnonymousAllowed: false,
+  ...changes,
+});
+
+export const newConfiguration = (
+  changes: Partial<RoutingConfiguration> = {},
+): RoutingConfiguration => ({
+  version: 1,
+  routes: [newRoute()],
+  services: [{ name: 'one', healthPath: '/', maxConnections: 100 }],
+  teams: [{ name: 'red', keys: ['red-key'] }],
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
+  ...changes,
+});
+
+export const newTargets = (
+  count: number,
+  changes: Partial<ListedTarget> = {},
+): readonly ListedTarget[] =>
+  Array.from({ length: count }, (_, index) => ({
+    id: `target-${index}`,
+    service: 'one',
+    address: `10.0.0.${index}:80`,
+    dataCentre: 'here',
+    slots: 2,
+    isLeaving: false,
+    ...changes,
+  }));
+
+export const newPeerDigest = (changes: Partial<PeerDigest> = {}): PeerDigest => ({
+  host: 'other',
+  incarnation: 1,
+  sequence: 1,
+  inFlight: {},
+  quotaTaken: {},
+  quotaRecent: {},
+  knowsWindow: false,
+  isLeaving: false,
+  ...changes,
+});
+
+export const GOOD_HEAD: AnswerHead = {
+  status: 200,
+  isSealed: true,
+  isNotRun: false,
+  isForeign: false,
+};
+
+export const NOT_RUN_HEAD: AnswerHead = {
+  status: 503,
+  isSealed: false,
+  isNotRun: true,
+  isForeign: false,
+};
+
+type Send = Extract<RoutingEffect, { type: 'send' }>;
+
+/** One entry's scheduler with a clock that the test moves. */
+export class RoutingHarness {
+  state: RoutingState = newRoutingState(START_MS);
+  effects: RoutingEffect[] = [];
+  nowMs = START_MS;
+  /** How far the time of day has been set off the steady clock. */
+  wallOffsetMs = 0;
+  private nextRequestId = 1;
+  private readonly reduce;
+
+  constructor(settings: Partial<RoutingSettings> = {}) {
+    this.reduce = createRoutingReducer({
+      host: 'self',
+      incarnation: 1,
+      dataCentre: 'here',
+      retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
+      quotaWindowMs: 8_000,
+      longestUnconfirmedMs: 4_850,
+      ...settings,
+    });
+  }
+
+  /** An entry that has been up for a whole window, with its configuration and targets. */
+  static ready(
+    configuration = newConfiguration(),
+    targets = newTargets(2),
+    settings: Partial<RoutingSettings> = {},
+  ): RoutingHarness {
+    const harness = new RoutingHarness(settings);
+    harness.nowMs += 20_000;
+    harness.run({ type: 'configurationRead', configuration });
+    harness.confirm();
+    harness.run({ type: 'targetsListed', targets });
+    return harness;
+  }
+
+  run(event: RoutingEvent): readonly RoutingEffect[] {
+    const now = { steadyMs: this.nowMs, wallMs: this.nowMs + this.wallOffsetMs };
+    const reduction = this.reduce(this.state, { now, event });
+    this.state = reduction.state;
+    this.effects.push(...reduction.effects);
+    return reduction.effects;
+  }
+
+  confirm(): void {
+    const confirmed = { steadyMs: this.nowMs, wallMs: this.nowMs + this.wallOffsetMs };
+    this.run({ type: 'configurationConfirmed', confirmed });
+  }
+
+  /** Lets time pass in ticks of the real period. */
+  pass(ms: number): void {
+    for (let left = ms; left > 0; left -= 50) {
+      this.nowMs += Math.min(50, left);
+      this.confirm();
+      this.run({ type: 'ticked' });
+    }
+  }
+
+  arrive(changes: Partial<Arrival> = {}): number {
+    const requestId = this.nextRequestId;
+    this.nextRequestId += 1;
+    this.run({
+      type: 'arrived',
+      arrival: {
+        requestId,
+        host: 'a.example',
+        path: '/a/b',
+        key: 'red-key',
+        random: 0,
+        ...changes,
+      },
+    });
+    return requestId;
+  }
+
+  sendsOf(requestId: number): readonly Send[] {
+    return this.effects.filter(
+      (effect): effect is Send => effect.type === 'send' && effect.requestId === requestId,
+    );
+  }
+
+  lastSendOf(requestId: number): Send {
+    const send = this.sendsOf(requestId).at(-1);
+    if (send === undefined) {
+      throw new Error(`request ${requestId} was not sent`);
+    }
+    return send;
+  }
+
+  begin(requestId: number, head: AnswerHead = GOOD_HEAD): void {
+    const { sendId } = this.lastSendOf(requestId);
+    this.run({ type: 'answerBegan', requestId, sendId, head });
+  }
+
+  end(requestId: number, events = 0): void {
+    const { sendId } = this.lastSendOf(requestId);
+    this.run({ type: 'answerEnded', requestId, sendId, events });
+  }
+
+  fail(requestId: number, failure: 'neverSent' | 'broken' = 'broken'): void {
+    const { sendId } = this.lastSendOf(requestId);
+    this.run({ type: 'sendFailed', requestId, sendId, failure });
+  }
+
+  refusalOf(requestId: number): Refusal | undefined {
+    return this.effects.flatMap((effect) =>
+      effect.type === 'answer' && effect.requestId === requestId ? [effect.refusal] : [],
+    )[0];
+  }
+
+  isBrokenOff(requestId: number): boolean {
+    return this.effects.some(
+      (effect) => effect.type === 'breakOff' && effect.requestId === requestId,
+    );
+  }
+}
--- /dev/null
+++ b/packages/routing/tests/shared.test.ts
@@ -0,0 +1,148 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import {
+  newConfiguration,
+  newPeerDigest,
+  newRoute,
+  newTargets,
+  RoutingHarness,
+} from './routingHarness.js';
+
+const WINDOW_MS = 8_000;
+const ALLOWANCE = 10 * 8 + 20;
+
+const configuration = newConfiguration({
+  teams: [
+    {
+      name: 'red',
+      keys: ['red-key'],
+      quota: { unit: 'tokens', perSecond: 10, burst: 20, plainTokens: 1 },
+    },
+  ],
+});
+
+const readyWithQuota = (): RoutingHarness =>
+  RoutingHarness.ready(configuration, newTargets(1, { slots: 10_000 }));
+
+const isTaken = (entry: RoutingHarness, tokens: number): boolean => {
+  const requestId = entry.arrive({ promptTokens: tokens, maxOutputTokens: 0 });
+  return entry.refusalOf(requestId) === undefined;
+};
+
+describe('a team’s quota', () => {
+  it('holds in any window', () => {
+    const arrivals = fc.array(
+      fc.record({ gapMs: fc.nat(900), tokens: fc.integer({ min: 1, max: 30 }) }),
+      {
+        maxLength: 60,
+      },
+    );
+    fc.assert(
+      fc.property(arrivals, (list) => {
+        const entry = readyWithQuota();
+        const taken: { readonly atMs: number; readonly tokens: number }[] = [];
+        for (const { gapMs, tokens } of list) {
+          entry.nowMs += gapMs;
+          entry.confirm();
+          if (isTaken(entry, tokens)) {
+            taken.push({ atMs: entry.nowMs, tokens });
+          }
+        }
+        for (const { atMs } of taken) {
+          const inWindow = taken.filter((one) => one.atMs <= atMs && one.atMs > atMs - WINDOW_MS);
+          const sum = inWindow.reduce((total, { tokens }) => total + tokens, 0);
+          expect(sum).toBeLessThanOrEqual(ALLOWANCE);
+        }
+      }),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+
+  it('tells when to come back, and then has room', () => {
+    const entry = readyWithQuota();
+    isTaken(entry, 40);
+    const refused = entry.arrive({ promptTokens: 30, maxOutputTokens: 0 });
+    const refusal = entry.refusalOf(refused);
+    expect(refusal?.status).toBe(429);
+    entry.nowMs += refusal?.retryAfterMs ?? 0;
+    entry.confirm();
+    expect(isTaken(entry, 30)).toBe(true);
+  });
+
+  it('counts what other entries took', () => {
+    const entry = readyWithQuota();
+    entry.run({ type: 'digestReceived', digest: newPeerDigest({ quotaTaken: { red: 500 } }) });
+    expect(isTaken(entry, 10)).toBe(true);
+    entry.run({
+      type: 'digestReceived',
+      digest: newPeerDigest({ sequence: 2, quotaTaken: { red: 600 } }),
+    });
+    expect(isTaken(entry, 10)).toBe(false);
+  });
+
+  it('leaves the part of an entry that is silent, unless it left', () => {
+    const silent = readyWithQuota();
+    silent.run({ type: 'digestReceived', digest: newPeerDigest() });
+    silent.pass(5_000);
+    expect([isTaken(silent, 18), isTaken(silent, 18)]).toEqual([true, false]);
+    const left = readyWithQuota();
+    left.run({ type: 'digestReceived', digest: newPeerDigest({ isLeaving: true }) });
+    left.pass(5_000);
+    expect([isTaken(left, 18), isTaken(left, 18)]).toEqual([true, true]);
+  });
+
+  it('gives back what was refused before it ran', () => {
+    const entry = RoutingHarness.ready(configuration, []);
+    for (let turn = 0; turn < 20; turn += 1) {
+      expect(entry.refusalOf(entry.arrive({ promptTokens: 30 }))?.reason).toBe('noTarget');
+    }
+  });
+
+  it('is remembered by an entry that starts after all have stopped', () => {
+    const entry = new RoutingHarness();
+    entry.run({ type: 'configurationRead', configuration });
+    entry.run({ type: 'targetsListed', targets: newTargets(1, { slots: 100 }) });
+    entry.nowMs += 4_000;
+    entry.confirm();
+    expect([isTaken(entry, 20), isTaken(entry, 10)]).toEqual([true, false]);
+    entry.run({ type: 'quotasRecalled', taken: { red: 50 } });
+    entry.nowMs += 2_000;
+    entry.confirm();
+    expect([isTaken(entry, 15), isTaken(entry, 30)]).toEqual([true, false]);
+  });
+
+  it('is kept once a second by the first entry by name alone', () => {
+    const countKept = (entry: RoutingHarness): number =>
+      entry.effects.filter(({ type }) => type === 'rememberQuotas').length;
+    const first = readyWithQuota();
+    isTaken(first, 10);
+    first.pass(3_000);
+    expect(countKept(first)).toBe(3);
+    const second = readyWithQuota();
+    isTaken(second, 10);
+    for (let sequence = 1; sequence <= 6; sequence += 1) {
+      second.run({ type: 'digestReceived', digest: newPeerDigest({ host: 'a', sequence }) });
+      second.pass(500);
+    }
+    expect(countKept(second)).toBe(0);
+  });
+});
+
+describe('the budget of repeats', () => {
+  it('stays within ratio and slack, the slack divided among the entries', () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({ routes: [newRoute({ maxAttempts: 3 })] }),
+      newTargets(40, { slots: 100 }),
+    );
+    entry.run({ type: 'digestReceived', digest: newPeerDigest() });
+    const requests = 200;
+    let repeats = 0;
+    for (let turn = 0; turn < requests; turn += 1) {
+      const requestId = entry.arrive();
+      entry.fail(requestId);
+      repeats += entry.sendsOf(requestId).length - 1;
+    }
+    expect(repeats).toBeGreaterThan(0);
+    expect(repeats).toBeLessThanOrEqual(0.2 * requests + 50 / 2);
+  });
+});
