--- a/packages/router/src/callers/describeRefusal.ts
+++ b/packages/router/src/callers/describeRefusal.ts
@@ -1,6 +1,7 @@
 import type { Refusal } from '@parsleyhall/routing';
 
 const TITLES: Readonly<Record<Refusal['reason'], string>> = {
+  stopping: 'This entry is stopping; others take the request',
   noConfiguration: 'This entry knows no configuration yet',
   configurationUnconfirmed: 'This entry cannot tell whether the key still holds',
   noRoute: 'No route fits the host and path',
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -27,8 +27,10 @@
 const STOP_LISTENING_AFTER_MS = 2_600;
 /** Kept back of the time for a stop, for the process to end. */
 const STOP_MARGIN_MS = 400;
+/** When to come back to a host whose entry is stopping, at another entry, in milliseconds. */
+const STOPPING_RETRY_MS = 100;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
-const MAX_QUEUE_TICKS_MS = 100;
+const STOP_CHECK_MS = 100;
 
 interface Call {
   readonly caller: Caller;
@@ -55,6 +57,8 @@
   const targetCaller = createTargetCaller();
   let nextRequestId = 1;
   let isStopping = false;
+  /** Requests that come now could not be finished in time. */
+  let isClosed = false;
   let state: RoutingState = newRoutingState(performance.now());
   const queue: RoutingEvent[] = [];
   let isRunning = false;
@@ -271,6 +275,17 @@
 
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
     const arrivedMs = performance.now();
+    if (isClosed) {
+      request.resume();
+      answer(response, { status: 503, reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS });
+      return;
+    }
+    // A connection whose answer began before the stop was told that it would be kept.
+    response.once('finish', () => {
+      if (isStopping) {
+        request.socket.end();
+      }
+    });
     const maxBytes = state.index?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     readBody(request, maxBytes, (body) => {
       if (body === undefined) {
@@ -342,14 +357,13 @@
     const startMs = performance.now();
     logger.info({ event: 'stopping', open: callers.countOpen() }, 'stopping');
     dispatch({ type: 'leaving' });
-    let isListening = true;
     const checking = setInterval(() => {
       const elapsedMs = performance.now() - startMs;
       if (elapsedMs < STOP_LISTENING_AFTER_MS) {
         return;
       }
-      if (isListening) {
-        isListening = false;
+      if (!isClosed) {
+        isClosed = true;
         callers.stopListening();
       }
       callers.closeIdle();
@@ -358,7 +372,7 @@
         logger.info({ event: 'stopped', open: callers.countOpen() }, 'stopped');
         openStopped();
       }
-    }, MAX_QUEUE_TICKS_MS);
+    }, STOP_CHECK_MS);
   };
 
   return {
--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -214,3 +214,19 @@
     await router.whenStopped;
   });
 });
+
+describe('a stream that outlasts the stop of listening', () => {
+  it('ends its connection, so that no later request comes on it', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/stream/x');
+    const { socket } = await target.nextRequest();
+    socket.write(STREAM_HEAD + toChunk(toEvent(1)));
+    const head = await caller.waitFor('data: 1');
+    expect(head.toLowerCase()).toContain('connection: keep-alive');
+    router.requestStop();
+    socket.write('0\r\n\r\n');
+    expect(await caller.whenEnded).toMatch(/0\r\n\r\n$/);
+    await router.whenStopped;
+  });
+});
--- a/packages/routing/src/requests/refusalReason.ts
+++ b/packages/routing/src/requests/refusalReason.ts
@@ -1,5 +1,6 @@
 /** Why this entry answers a request itself. */
 export type RefusalReason =
+  | 'stopping'
   | 'noConfiguration'
   | 'configurationUnconfirmed'
   | 'noRoute'
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -12,6 +12,7 @@
 import { noteSend } from '../retries/noteSend.js';
 import type { RoutingState } from '../routingState.js';
 import { getCandidates } from '../targets/getCandidates.js';
+import { getPrefillMs } from '../targets/getPrefillMs.js';
 import { newServicePace } from '../targets/newServicePace.js';
 import { admit } from './admit.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
@@ -73,7 +74,7 @@
   const ahead = queue.filter(({ tier }) => tier <= request.tier).length;
   const entries = countEntries(state, nowMs);
   const waitMs = predictWaitMs({ ahead, candidates, runMs: pace.runMs, entries });
-  const prefillMs = request.promptTokens * pace.prefillMsPerToken;
+  const prefillMs = getPrefillMs(request, pace);
   return nowMs + waitMs + prefillMs <= request.patienceAtMs
     ? undefined
     : {
--- a/packages/routing/src/steps/checkRequest.ts
+++ b/packages/routing/src/steps/checkRequest.ts
@@ -5,6 +5,7 @@
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { isRepeatAllowed } from '../retries/isRepeatAllowed.js';
 import type { RoutingState } from '../routingState.js';
+import { getPrefillMs } from '../targets/getPrefillMs.js';
 import { newServicePace } from '../targets/newServicePace.js';
 import { failSend } from './failSend.js';
 import { isSilent } from './isSilent.js';
@@ -24,7 +25,7 @@
 
 const isHopeless = (state: RoutingState, request: TrackedRequest, nowMs: number): boolean => {
   const pace = state.paces.get(request.service) ?? newServicePace();
-  return nowMs + request.promptTokens * pace.prefillMsPerToken >= request.patienceAtMs;
+  return nowMs + getPrefillMs(request, pace) >= request.patienceAtMs;
 };
 
 const isWorthMoving = (state: RoutingState, request: TrackedRequest, scope: Scope): boolean =>
