Give up late work as soon as it shows that it waits in vain

Change: waiting work that is late is refused, with when to come back, once the work before it takes longer than its caller waits.

--- a/packages/routing/src/queue/sortWaiting.ts
+++ b/packages/routing/src/queue/sortWaiting.ts
@@ -1,10 +1,8 @@
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { getNominalMs } from '../targets/getNominalMs.js';
-import { getPrefillMs } from '../targets/getPrefillMs.js';
 import type { ServicePace } from '../targets/servicePace.js';
+import { isLate } from './isLate.js';
 
-/** The part of an objective that is left for what a target takes longer than predicted. */
-const OBJECTIVE_MARGIN = 0.25;
 /** Work below this part of the service's mean run is short. */
 const SHORT_RUN = 0.3;
 
@@ -15,10 +13,6 @@
   readonly isLate: boolean;
 }
 
-const isLate = (request: TrackedRequest, pace: ServicePace, nowMs: number): boolean =>
-  nowMs + getPrefillMs(request, pace) + OBJECTIVE_MARGIN * request.route.objectiveMs >
-  request.objectiveAtMs;
-
 const isShort = (request: TrackedRequest, pace: ServicePace): boolean =>
   getNominalMs(request, pace) < SHORT_RUN * pace.runMs;
 
--- a/packages/routing/src/steps/tick.ts
+++ b/packages/routing/src/steps/tick.ts
@@ -6,6 +6,7 @@
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { forEach } from './forEach.js';
 import { keep } from './keep.js';
+import { refuseHopeless } from './refuseHopeless.js';
 import type { Outcome } from './outcome.js';
 import type { Scope } from './scope.js';
 
@@ -15,7 +16,8 @@
     const request = current.requests.get(requestId);
     return request === undefined ? keep(current) : checkRequest(current, request, scope);
   });
-  const dispatched = andThen(checked, (current) =>
+  const relieved = andThen(checked, (current) => refuseHopeless(current, scope));
+  const dispatched = andThen(relieved, (current) =>
     forEach(current, current.waiting.keys(), (next, service) =>
       dispatchWaiting(next, service, scope),
     ),
--- a/packages/routing/tests/order.test.ts
+++ b/packages/routing/tests/order.test.ts
@@ -25,6 +25,27 @@
     expect(entry.sendsOf(usual)).toHaveLength(1);
   });
 
+  it('starts short work first while it can be on time, whatever its tier', () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({
+        routes: [
+          newRoute({ kind: 'stream', pathPrefix: '/urgent/', priority: 0 }),
+          newRoute({ kind: 'stream', pathPrefix: '/usual/', priority: 1 }),
+        ],
+      }),
+      newTargets(1, { slots: 1 }),
+    );
+    const running = entry.arrive({ path: '/urgent/0', promptTokens: 100, maxOutputTokens: 300 });
+    const { sendId } = entry.lastSendOf(running);
+    entry.run({ type: 'answerWentOn', requestId: running, sendId });
+    const urgent = entry.arrive({ path: '/urgent/1', promptTokens: 100, maxOutputTokens: 300 });
+    const short = entry.arrive({ path: '/usual/1', promptTokens: 100, maxOutputTokens: 1 });
+    entry.pass(300);
+    entry.end(running);
+    expect(entry.sendsOf(short)).toHaveLength(1);
+    expect(entry.sendsOf(urgent)).toHaveLength(0);
+  });
+
   it('puts what is late already behind what can still be on time', () => {
     const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
     const running = entry.arrive({ path: '/usual/0' });
@@ -36,13 +57,13 @@
     expect(entry.sendsOf(late)).toHaveLength(0);
   });
 
-  it('gives up at once, as not run, what cannot begin before its caller leaves', () => {
+  it('gives up, as not run, what is late and cannot begin before its caller leaves', () => {
     const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
     entry.arrive({ path: '/usual/0' });
     const waiting = entry.arrive({ path: '/usual/1' });
-    entry.pass(2_950);
+    entry.pass(350);
     expect(entry.refusalOf(waiting)).toBeUndefined();
-    entry.pass(100);
+    entry.pass(2_600);
     expect(entry.refusalOf(waiting)).toMatchObject({ status: 503, reason: 'overloaded' });
     expect(entry.refusalOf(waiting)?.retryAfterMs).toBeGreaterThan(0);
   });
