--- a/packages/router/src/process/createRouterLogger.ts
+++ b/packages/router/src/process/createRouterLogger.ts
@@ -2,6 +2,9 @@
 import type { BoundedOutput } from './boundedOutput.js';
 import type { RouterLogger } from './routerLogger.js';
 
+// The library hands its streams whole lines, whatever its types say.
+const isLine = (value: unknown): value is string => typeof value === 'string';
+
 /** Logs JSON lines to the output, each with the names of the host and its data centre. */
 export const createRouterLogger = ({
   host,
@@ -22,7 +25,9 @@
         level: 'info',
         stream: {
           write: (line: object) => {
-            output.write(String(line));
+            if (isLine(line)) {
+              output.write(line);
+            }
           },
         },
       },
--- a/packages/router/src/targets/createTargetCaller.ts
+++ b/packages/router/src/targets/createTargetCaller.ts
@@ -134,7 +134,7 @@
       connection.client.dispatch(
         {
           path,
-          method: method as Dispatcher.HttpMethod,
+          method: method,
           headers: [...headers],
           body: body.length === 0 ? null : body,
         },
--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -2,8 +2,9 @@
 import type { Socket } from 'node:net';
 import { describe, expect, it } from 'vitest';
 import type { RunningRouter } from '../src/index.js';
-import { RequestQueue, startRawTarget } from './rawTarget.js';
-import { startTestRouter } from './routerHarness.js';
+import { RequestQueue } from './support/requestQueue.js';
+import { startRawTarget } from './support/startRawTarget.js';
+import { startTestRouter } from './support/startTestRouter.js';
 
 interface RawCaller {
   readonly socket: Socket;
--- a/packages/router/tests/rawTarget.ts
+++ b/packages/router/tests/support/startRawTarget.ts
@@ -1,48 +1,9 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import type { RawTarget } from './rawTarget.js';
+import { RequestQueue } from './requestQueue.js';
 
-interface RawRequest {
-  readonly head: string;
-  readonly socket: Socket;
-  /** The header's value; undefined where it was not sent. */
-  readonly getHeader: (name: string) => string | undefined;
-}
-
-/** A target that speaks whatever bytes the test writes. */
-export interface RawTarget extends AsyncDisposable {
-  readonly address: string;
-  /** Connections that were made so far. */
-  readonly countConnections: () => number;
-  /** Resolves with each request of the queue in turn. */
-  readonly nextRequest: () => Promise<RawRequest>;
-}
-
-/** Requests of one target, or of several that share it. */
-export class RequestQueue {
-  private readonly waiting: ((request: RawRequest) => void)[] = [];
-  private readonly ready: RawRequest[] = [];
-
-  take(request: RawRequest): void {
-    const next = this.waiting.shift();
-    if (next === undefined) {
-      this.ready.push(request);
-      return;
-    }
-    next(request);
-  }
-
-  next(): Promise<RawRequest> {
-    return new Promise((resolve) => {
-      const request = this.ready.shift();
-      if (request === undefined) {
-        this.waiting.push(resolve);
-        return;
-      }
-      resolve(request);
-    });
-  }
-}
-
+/** Starts a target on loopback. */
 export const startRawTarget = async (queue = new RequestQueue()): Promise<RawTarget> => {
   const sockets = new Set<Socket>();
   let connections = 0;
--- a/packages/router/tests/routerHarness.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { ListedTarget, Route, RoutingConfiguration } from '@parsleyhall/routing';
-import { startRouter } from '../src/index.js';
-import type { CallCodec, RouterInputs, RouterLogger, RunningRouter } from '../src/index.js';
+import { startRouter } from '../../src/index.js';
+import type { CallCodec, RouterInputs, RouterLogger, RunningRouter } from '../../src/index.js';
 import type { RawTarget } from './rawTarget.js';
 
 const readOne = (headers: IncomingHttpHeaders, name: string): string | undefined => {
@@ -39,7 +39,7 @@
   info: () => true,
   warn: () => true,
   error: () => true,
-} as unknown as RouterLogger;
+};
 
 const newRoute = (kind: Route['kind']): Route => ({
   name: kind,
--- a/packages/routing/src/requests/withoutSend.ts
+++ b/packages/routing/src/requests/withoutSend.ts
@@ -2,6 +2,6 @@
 
 /** The request as one that waits again. */
 export const withoutSend = (request: TrackedRequest): TrackedRequest => {
-  const { send: _, ...rest } = request;
-  return rest;
+  const { send, ...rest } = request;
+  return send === undefined ? request : rest;
 };
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -1,5 +1,8 @@
 import { describe, expect, it } from 'vitest';
-import { newConfiguration, newRoute, newTargets, RoutingHarness } from './routingHarness.js';
+import { newConfiguration } from './support/newConfiguration.js';
+import { newRoute } from './support/newRoute.js';
+import { newTargets } from './support/newTargets.js';
+import { RoutingHarness } from './support/routingHarness.js';
 
 describe('admission', () => {
   it('refuses as not run while no configuration is known', () => {
--- a/packages/routing/tests/sending.test.ts
+++ b/packages/routing/tests/sending.test.ts
@@ -1,15 +1,13 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import type { RouteKind } from '../src/index.js';
-import {
-  GOOD_HEAD,
-  newConfiguration,
-  newPeerDigest,
-  newRoute,
-  newTargets,
-  NOT_RUN_HEAD,
-  RoutingHarness,
-} from './routingHarness.js';
+import { GOOD_HEAD } from './support/goodHead.js';
+import { newConfiguration } from './support/newConfiguration.js';
+import { newPeerDigest } from './support/newPeerDigest.js';
+import { newRoute } from './support/newRoute.js';
+import { newTargets } from './support/newTargets.js';
+import { NOT_RUN_HEAD } from './support/notRunHead.js';
+import { RoutingHarness } from './support/routingHarness.js';
 
 const readyFor = (kind: RouteKind, maxAttempts = 3): RoutingHarness =>
   RoutingHarness.ready(
--- a/packages/routing/tests/shared.test.ts
+++ b/packages/routing/tests/shared.test.ts
@@ -1,12 +1,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import {
-  newConfiguration,
-  newPeerDigest,
-  newRoute,
-  newTargets,
-  RoutingHarness,
-} from './routingHarness.js';
+import { newConfiguration } from './support/newConfiguration.js';
+import { newPeerDigest } from './support/newPeerDigest.js';
+import { newRoute } from './support/newRoute.js';
+import { newTargets } from './support/newTargets.js';
+import { RoutingHarness } from './support/routingHarness.js';
 
 const WINDOW_MS = 8_000;
 const ALLOWANCE = 10 * 8 + 20;
--- /dev/null
+++ b/packages/routing/tests/support/goodHead.ts
@@ -0,0 +1,9 @@
+import type { AnswerHead } from '../../src/index.js';
+
+/** The head of a target's good answer. */
+export const GOOD_HEAD: AnswerHead = {
+  status: 200,
+  isSealed: true,
+  isNotRun: false,
+  isForeign: false,
+};
--- /dev/null
+++ b/packages/routing/tests/support/newPeerDigest.ts
@@ -0,0 +1,14 @@
+import type { PeerDigest } from '../../src/index.js';
+
+/** What an idle entry tells. */
+export const newPeerDigest = (changes: Partial<PeerDigest> = {}): PeerDigest => ({
+  host: 'other',
+  incarnation: 1,
+  sequence: 1,
+  inFlight: {},
+  quotaTaken: {},
+  quotaRecent: {},
+  knowsWindow: false,
+  isLeaving: false,
+  ...changes,
+});
--- /dev/null
+++ b/packages/routing/tests/support/notRunHead.ts
@@ -0,0 +1,9 @@
+import type { AnswerHead } from '../../src/index.js';
+
+/** The head of the answer of a target that is full. */
+export const NOT_RUN_HEAD: AnswerHead = {
+  status: 503,
+  isSealed: false,
+  isNotRun: true,
+  isForeign: false,
+};
--- a/packages/routing/tests/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -1,91 +1,19 @@
-import { createRoutingReducer, newRoutingState } from '../src/index.js';
+import { createRoutingReducer, newRoutingState } from '../../src/index.js';
 import type {
   AnswerHead,
   Arrival,
-  ListedTarget,
-  PeerDigest,
   Refusal,
-  Route,
-  RoutingConfiguration,
   RoutingEffect,
   RoutingEvent,
   RoutingSettings,
   RoutingState,
-} from '../src/index.js';
+} from '../../src/index.js';
+import { GOOD_HEAD } from './goodHead.js';
+import { newConfiguration } from './newConfiguration.js';
+import { newTargets } from './newTargets.js';
 
 const START_MS = 100_000;
 
-export const newRoute = (changes: Partial<Route> = {}): Route => ({
-  name: 'route',
-  host: 'a.example',
-  pathPrefix: '/a/',
-  kind: 'idempotent',
-  destinations: [{ service: 'one', weight: 1 }],
-  timeoutMs: 10_000,
-  objectiveMs: 500,
-  longestSilenceMs: 3_000,
-  priority: 1,
-  maxAttempts: 2,
-  isAnonymousAllowed: false,
-  ...changes,
-});
-
-export const newConfiguration = (
-  changes: Partial<RoutingConfiguration> = {},
-): RoutingConfiguration => ({
-  version: 1,
-  routes: [newRoute()],
-  services: [{ name: 'one', healthPath: '/', maxConnections: 100 }],
-  teams: [{ name: 'red', keys: ['red-key'] }],
-  limits: {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 1_000_000,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
-  ...changes,
-});
-
-export const newTargets = (
-  count: number,
-  changes: Partial<ListedTarget> = {},
-): readonly ListedTarget[] =>
-  Array.from({ length: count }, (_, index) => ({
-    id: `target-${index}`,
-    service: 'one',
-    address: `10.0.0.${index}:80`,
-    dataCentre: 'here',
-    slots: 2,
-    isLeaving: false,
-    ...changes,
-  }));
-
-export const newPeerDigest = (changes: Partial<PeerDigest> = {}): PeerDigest => ({
-  host: 'other',
-  incarnation: 1,
-  sequence: 1,
-  inFlight: {},
-  quotaTaken: {},
-  quotaRecent: {},
-  knowsWindow: false,
-  isLeaving: false,
-  ...changes,
-});
-
-export const GOOD_HEAD: AnswerHead = {
-  status: 200,
-  isSealed: true,
-  isNotRun: false,
-  isForeign: false,
-};
-
-export const NOT_RUN_HEAD: AnswerHead = {
-  status: 503,
-  isSealed: false,
-  isNotRun: true,
-  isForeign: false,
-};
-
 type Send = Extract<RoutingEffect, { type: 'send' }>;
 
 /** One entry's scheduler with a clock that the test moves. */
