Metrics on their own address, settings taken over while running

Metrics move to a package of their own that the router shares with the other processes: counters by decision and reason, histograms of waiting, first event and whole answer by service and tier, gauges of what is held, the age of the configuration and the event loop. The scheduler's settings are part of its state, so a change is an event like any other.

--- a/packages/daemon/src/entryShell/entryParts.ts
+++ b/packages/daemon/src/entryShell/entryParts.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationState } from '@parsleyhall/configuration';
 import type { CallerRegistry } from '../callers/callerRegistry.js';
 import type { KeyLog } from '../keyLog/keyLog.js';
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 import type { ProcessLogger } from '../process/processLogger.js';
 import type { SideLinks } from './sideLinks.js';
 
--- a/packages/daemon/src/entryShell/getEntryStatus.ts
+++ b/packages/daemon/src/entryShell/getEntryStatus.ts
@@ -2,7 +2,7 @@
 import type { EntrySettings, EntryState, SideLink } from '@parsleyhall/entry';
 import type { ProcessStatus } from '@parsleyhall/clients';
 import type { CallerRegistry } from '../callers/callerRegistry.js';
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 
 type SideStatus = ProcessStatus['sides'][number];
 
--- a/packages/daemon/src/entryShell/newEntryCallers.ts
+++ b/packages/daemon/src/entryShell/newEntryCallers.ts
@@ -1,6 +1,6 @@
 import { createCallerRegistry } from '../callers/createCallerRegistry.js';
 import { getMonotonicMs } from '../loop/getMonotonicMs.js';
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 import type { ReportAccount } from '../report/reportAccount.js';
 import type { EntrySettingsFile } from '../settings/entrySettingsFile.js';
 import type { EntryEventBody } from './entryEventBody.js';
--- a/packages/daemon/src/entryShell/recordOutcome.ts
+++ b/packages/daemon/src/entryShell/recordOutcome.ts
@@ -1,5 +1,5 @@
 import type { CallerOutcome } from '../callers/callerOutcome.js';
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 
 /** Counts how a request ended and records its durations. */
 export const recordOutcome = (metrics: Metrics, outcome: CallerOutcome): void => {
--- a/packages/daemon/src/process/createFaultNotes.ts
+++ b/packages/daemon/src/process/createFaultNotes.ts
@@ -1,4 +1,4 @@
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 import type { FaultNotes } from './faultNotes.js';
 import type { ProcessLogger } from './processLogger.js';
 import { toError } from './toError.js';
--- a/packages/daemon/src/process/observe.ts
+++ b/packages/daemon/src/process/observe.ts
@@ -1,5 +1,5 @@
-import type { Metrics } from '../metrics/metrics.js';
-import { toMetricName } from '../metrics/toMetricName.js';
+import type { Metrics } from '@parsleyhall/metrics';
+import { toMetricName } from '@parsleyhall/metrics';
 import type { ProcessLogger } from './processLogger.js';
 
 const INFO_EVENTS = new Set(['requestEnded']);
--- a/packages/daemon/src/report/createReportAccount.ts
+++ b/packages/daemon/src/report/createReportAccount.ts
@@ -3,7 +3,7 @@
 import type { TeamName, Tier } from '@parsleyhall/common';
 import type { ReportRow } from '@parsleyhall/clients';
 import type { CallerOutcome } from '../callers/callerOutcome.js';
-import { newDurationHistogram } from '../metrics/newDurationHistogram.js';
+import { newDurationHistogram } from '@parsleyhall/metrics';
 import type { ReportAccount } from './reportAccount.js';
 
 interface Sums {
--- a/packages/daemon/src/sideShell/getSideStatus.ts
+++ b/packages/daemon/src/sideShell/getSideStatus.ts
@@ -1,6 +1,6 @@
 import type { ProcessStatus } from '@parsleyhall/clients';
 import type { SideSettings, SideState } from '@parsleyhall/side';
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 
 const NO_TIERS = [0, 0, 0, 0] as const;
 
--- a/packages/daemon/src/sideShell/sideParts.ts
+++ b/packages/daemon/src/sideShell/sideParts.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationState } from '@parsleyhall/configuration';
 import type { LinkServer } from '../link/linkServer.js';
-import type { Metrics } from '../metrics/metrics.js';
+import type { Metrics } from '@parsleyhall/metrics';
 import type { ProcessLogger } from '../process/processLogger.js';
 import type { TargetClient } from '../target/targetClient.js';
 
--- /dev/null
+++ b/packages/router/src/process/newRoutingSettings.ts
@@ -0,0 +1,15 @@
+import type { RoutingSettings } from '@parsleyhall/routing';
+import type { RouterSettings } from './routerSettings.js';
+
+/** What the scheduler needs of a router's settings. */
+export const newRoutingSettings = (
+  { host, dataCentre, retries, quotaWindowMs, longestUnconfirmedMs }: RouterSettings,
+  incarnation: number,
+): RoutingSettings => ({
+  host,
+  incarnation,
+  dataCentre,
+  retries,
+  quotaWindowMs,
+  longestUnconfirmedMs,
+});
--- /dev/null
+++ b/packages/router/src/process/registerRouterGauges.ts
@@ -0,0 +1,33 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { registerProcessGauges } from '@parsleyhall/metrics';
+import type { Metrics } from '@parsleyhall/metrics';
+import type { RoutingState } from '@parsleyhall/routing';
+
+const LOOP_RESOLUTION_MS = 20;
+const NANOSECONDS_PER_MS = 1_000_000;
+const NINETY_NINE = 99;
+
+/** Registers what a router holds and how old its knowledge is. */
+export const registerRouterGauges = (metrics: Metrics, getState: () => RoutingState): void => {
+  const loop = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS });
+  loop.enable();
+  registerProcessGauges(metrics);
+  metrics.registerGauge('requests_open', () => getState().requests.size);
+  metrics.registerGauge('requests_waiting', () =>
+    [...getState().waiting.values()].reduce((sum, queue) => sum + queue.size, 0),
+  );
+  metrics.registerGauge('targets_listed', () => getState().targets.size);
+  metrics.registerGauge('entries_known', () => getState().peers.size);
+  metrics.registerGauge(
+    'configuration_version',
+    () => getState().index?.configuration.version ?? 0,
+  );
+  metrics.registerGauge('configuration_age_ms', () => {
+    const { confirmed } = getState();
+    return confirmed === undefined ? -1 : Math.round(performance.now() - confirmed.steadyMs);
+  });
+  metrics.registerGauge(
+    'event_loop_delay_p99_ms',
+    () => loop.percentile(NINETY_NINE) / NANOSECONDS_PER_MS,
+  );
+};
--- a/packages/router/src/process/routerSettings.ts
+++ b/packages/router/src/process/routerSettings.ts
@@ -10,6 +10,8 @@
   /** Where the platform asks whether the process takes callers: IP address and port. */
   readonly readinessAddress: string;
   readonly readinessPath: string;
+  /** Where metrics are read: IP address and port. */
+  readonly metricsAddress: string;
   /** For digests between entries; the same on every host. */
   readonly peerPort: number;
   /** Entries that may be there at the start, by IP address. */
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { createRoutingReducer, newRoutingState } from '@parsleyhall/routing';
+import { createMetrics } from '@parsleyhall/metrics';
+import { newRoutingState, reduceRouting } from '@parsleyhall/routing';
 import type { Refusal, RoutingEffect, RoutingEvent, RoutingState } from '@parsleyhall/routing';
 import type { Caller } from '../callers/caller.js';
 import { createCallersServer } from '../callers/createCallersServer.js';
@@ -16,10 +17,14 @@
 import { createTargetCaller } from '../targets/createTargetCaller.js';
 import type { Exchange } from '../targets/exchange.js';
 import { getClocks } from './getClocks.js';
+import { newRoutingSettings } from './newRoutingSettings.js';
 import type { PlatformLink } from './platformLink.js';
+import { recordDecision } from './recordDecision.js';
+import { registerRouterGauges } from './registerRouterGauges.js';
 import type { RouterLogger } from './routerLogger.js';
 import type { RouterSettings } from './routerSettings.js';
 import type { RunningRouter } from './runningRouter.js';
+import { startMetricsListener } from './startMetricsListener.js';
 import { startReadiness } from './startReadiness.js';
 
 const TICK_MS = 50;
@@ -54,24 +59,21 @@
   readonly platform: PlatformLink;
 }): Promise<RunningRouter> => {
   const calls = new Map<number, Call>();
+  const metrics = createMetrics();
   const targetCaller = createTargetCaller();
   let nextRequestId = 1;
   let isStopping = false;
   /** Requests that come now could not be finished in time. */
   let isClosed = false;
-  let state: RoutingState = newRoutingState(performance.now());
+  const incarnation = Date.now();
+  let { stopWithinMs } = settings;
+  let state: RoutingState = newRoutingState(
+    newRoutingSettings(settings, incarnation),
+    performance.now(),
+  );
   const queue: RoutingEvent[] = [];
   let isRunning = false;
 
-  const reduce = createRoutingReducer({
-    host: settings.host,
-    incarnation: Date.now(),
-    dataCentre: settings.dataCentre,
-    retries: settings.retries,
-    quotaWindowMs: settings.quotaWindowMs,
-    longestUnconfirmedMs: settings.longestUnconfirmedMs,
-  });
-
   const dispatch = (event: RoutingEvent): void => {
     queue.push(event);
     if (isRunning) {
@@ -80,7 +82,7 @@
     isRunning = true;
     try {
       for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-        const reduction = reduce(state, { now: getClocks(), event: next });
+        const reduction = reduceRouting(state, { now: getClocks(), event: next });
         state = reduction.state;
         reduction.effects.forEach(runEffect);
       }
@@ -206,6 +208,7 @@
         platform.rememberQuotas(effect.taken);
         return;
       case 'observe':
+        recordDecision(metrics, effect.name, effect.fields);
         logger.info({ event: effect.name, ...describe(effect.fields) }, effect.name);
         return;
     }
@@ -298,6 +301,8 @@
     });
   };
 
+  registerRouterGauges(metrics, () => state);
+  const metricsListener = await startMetricsListener(settings.metricsAddress, metrics);
   const callers = createCallersServer(handle);
   const peers = await startPeerLink({
     ip: settings.ip,
@@ -367,7 +372,7 @@
         callers.stopListening();
       }
       callers.closeIdle();
-      if (callers.countOpen() === 0 || elapsedMs > settings.stopWithinMs - STOP_MARGIN_MS) {
+      if (callers.countOpen() === 0 || elapsedMs > stopWithinMs - STOP_MARGIN_MS) {
         clearInterval(checking);
         logger.info({ event: 'stopped', open: callers.countOpen() }, 'stopped');
         openStopped();
@@ -378,12 +383,19 @@
   return {
     callersAddress,
     readinessAddress: readiness.address,
+    metricsAddress: metricsListener.address,
+    applySettings: (changed) => {
+      ({ stopWithinMs } = changed);
+      peers.addAddresses(changed.peerAddresses);
+      dispatch({ type: 'settingsRead', settings: newRoutingSettings(changed, incarnation) });
+    },
     requestStop,
     whenStopped,
     [Symbol.asyncDispose]: async () => {
       clearInterval(ticking);
       await platform[Symbol.asyncDispose]();
       await readiness[Symbol.asyncDispose]();
+      await metricsListener[Symbol.asyncDispose]();
       await callers[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
       await targetCaller[Symbol.asyncDispose]();
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -88,6 +88,7 @@
       callersAddress: '127.0.0.1:0',
       readinessAddress: '127.0.0.1:0',
       readinessPath: '/ready',
+      metricsAddress: '127.0.0.1:0',
       peerPort: 0,
       peerAddresses: [],
       retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,4 @@
-export { createRoutingReducer } from './createRoutingReducer.js';
+export { reduceRouting } from './reduceRouting.js';
 export { newRoutingState } from './newRoutingState.js';
 export type { AnswerHead } from './answerHead.js';
 export type { Arrival } from './requests/arrival.js';
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -1,8 +1,10 @@
 import { Map } from 'immutable';
+import type { RoutingSettings } from './routingSettings.js';
 import type { RoutingState } from './routingState.js';
 
 /** The state of an entry that starts now, in milliseconds of the steady clock. */
-export const newRoutingState = (nowMs: number): RoutingState => ({
+export const newRoutingState = (settings: RoutingSettings, nowMs: number): RoutingState => ({
+  settings,
   targets: Map(),
   requests: Map(),
   waiting: Map(),
--- a/packages/routing/src/createRoutingReducer.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -5,7 +5,6 @@
 import { learnQuotas } from './quota/learnQuotas.js';
 import type { RoutingEffect } from './routingEffect.js';
 import type { RoutingEvent } from './routingEvent.js';
-import type { RoutingSettings } from './routingSettings.js';
 import type { RoutingState } from './routingState.js';
 import type { StampedRoutingEvent } from './stampedRoutingEvent.js';
 import { arrive } from './steps/arrive.js';
@@ -70,6 +69,8 @@
       return keep(receiveDigest(state, event.digest, scope));
     case 'quotasRecalled':
       return keep(learnQuotas(state, event.taken, scope));
+    case 'settingsRead':
+      return keep({ ...state, settings: event.settings });
     case 'leaving':
       return keep({ ...state, isLeaving: true });
     case 'ticked':
@@ -78,7 +79,7 @@
 };
 
 /** The scheduler of an entry that calls its targets itself: one pure step an event. */
-export const createRoutingReducer =
-  (settings: RoutingSettings): Reducer<RoutingState, StampedRoutingEvent, RoutingEffect> =>
-  (state, { now, event }) =>
-    step(state, event, { settings, now, nowMs: now.steadyMs });
+export const reduceRouting: Reducer<RoutingState, StampedRoutingEvent, RoutingEffect> = (
+  state,
+  { now, event },
+) => step(state, event, { settings: state.settings, now, nowMs: now.steadyMs });
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -3,6 +3,7 @@
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import type { PeerDigest } from './peers/peerDigest.js';
 import type { Arrival } from './requests/arrival.js';
+import type { RoutingSettings } from './routingSettings.js';
 import type { SendFailure } from './sendFailure.js';
 import type { ListedTarget } from './targets/listedTarget.js';
 
@@ -36,5 +37,6 @@
   | { readonly type: 'digestReceived'; readonly digest: PeerDigest }
   /** What was taken of the quotas before this entry started, by team, as it was kept for that. */
   | { readonly type: 'quotasRecalled'; readonly taken: Readonly<Record<string, number>> }
+  | { readonly type: 'settingsRead'; readonly settings: RoutingSettings }
   | { readonly type: 'leaving' }
   | { readonly type: 'ticked' };
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -4,12 +4,14 @@
 import type { Peer } from './peers/peer.js';
 import type { QuotaAccount } from './quota/quotaAccount.js';
 import type { TrackedRequest } from './requests/trackedRequest.js';
+import type { RoutingSettings } from './routingSettings.js';
 import type { RetryCount } from './retries/retryCount.js';
 import type { ServicePace } from './targets/servicePace.js';
 import type { Target } from './targets/target.js';
 
 /** All that an entry's scheduler knows. */
 export interface RoutingState {
+  readonly settings: RoutingSettings;
   /** Undefined until the first configuration is known. */
   readonly index?: RoutingIndex;
   readonly confirmed?: Confirmation;
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -1,4 +1,4 @@
-import { createRoutingReducer, newRoutingState } from '../../src/index.js';
+import { newRoutingState, reduceRouting } from '../../src/index.js';
 import type {
   AnswerHead,
   Arrival,
@@ -18,16 +18,15 @@
 
 /** One entry's scheduler with a clock that the test moves. */
 export class RoutingHarness {
-  state: RoutingState = newRoutingState(START_MS);
+  state: RoutingState;
   effects: RoutingEffect[] = [];
   nowMs = START_MS;
   /** How far the time of day has been set off the steady clock. */
   wallOffsetMs = 0;
   private nextRequestId = 1;
-  private readonly reduce;
 
   constructor(settings: Partial<RoutingSettings> = {}) {
-    this.reduce = createRoutingReducer({
+    const whole: RoutingSettings = {
       host: 'self',
       incarnation: 1,
       dataCentre: 'here',
@@ -35,7 +34,8 @@
       quotaWindowMs: 8_000,
       longestUnconfirmedMs: 4_850,
       ...settings,
-    });
+    };
+    this.state = newRoutingState(whole, START_MS);
   }
 
   /** An entry that has been up for a whole window, with its configuration and targets. */
@@ -54,7 +54,7 @@
 
   run(event: RoutingEvent): readonly RoutingEffect[] {
     const now = { steadyMs: this.nowMs, wallMs: this.nowMs + this.wallOffsetMs };
-    const reduction = this.reduce(this.state, { now, event });
+    const reduction = reduceRouting(this.state, { now, event });
     this.state = reduction.state;
     this.effects.push(...reduction.effects);
     return reduction.effects;
