Confirm the configuration at once after a jump of the clocks

Cause: the time of day was set forward on all hosts, so the age of the configuration looked like more than the bound until the next regular read, and every request with a key was refused for up to 1.5 s. Ruled out: the clock that counts suspensions, which the runtime reads from a file that is not the process's own. A jump between two ticks now interrupts the waiting read and asks at once.

--- a/packages/router/src/process/platformLink.ts
+++ b/packages/router/src/process/platformLink.ts
@@ -4,6 +4,8 @@
 export interface PlatformLink extends AsyncDisposable {
   /** Starts to follow the configuration, the targets and the other entries. */
   readonly follow: (inputs: RouterInputs) => void;
+  /** Asks at once whether the configuration is still the newest. */
+  readonly confirmConfiguration: () => void;
   /** Keeps what was taken of the quotas, by team, for an entry that starts later; a failure is only logged. */
   readonly rememberQuotas: (taken: Readonly<Record<string, number>>) => void;
 }
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -204,6 +204,9 @@
       case 'sendDigest':
         peers.send(effect.digest);
         return;
+      case 'confirmConfiguration':
+        platform.confirmConfiguration();
+        return;
       case 'rememberQuotas':
         platform.rememberQuotas(effect.taken);
         return;
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -102,6 +102,7 @@
       follow: (given) => {
         inputs = given;
       },
+      confirmConfiguration: () => undefined,
       rememberQuotas: () => undefined,
       [Symbol.asyncDispose]: () => Promise.resolve(),
     },
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -27,6 +27,8 @@
   | { readonly type: 'sendDigest'; readonly digest: PeerDigest }
   /** Keeps what was taken of the quotas for entries that start after all have stopped. */
   | { readonly type: 'rememberQuotas'; readonly taken: Readonly<Record<string, number>> }
+  /** Asks at once whether the configuration is still the newest. */
+  | { readonly type: 'confirmConfiguration' }
   | {
       readonly type: 'observe';
       readonly name: string;
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -15,6 +15,8 @@
   /** Undefined until the first configuration is known. */
   readonly index?: RoutingIndex;
   readonly confirmed?: Confirmation;
+  /** Both clocks at the latest tick. */
+  readonly ticked?: Confirmation;
   /** By target id. */
   readonly targets: Map<string, Target>;
   readonly requests: Map<number, TrackedRequest>;
--- a/packages/routing/src/steps/tick.ts
+++ b/packages/routing/src/steps/tick.ts
@@ -2,6 +2,7 @@
 import { rememberQuotas } from '../quota/rememberQuotas.js';
 import type { RoutingState } from '../routingState.js';
 import { andThen } from './andThen.js';
+import { checkClocks } from './checkClocks.js';
 import { checkRequest } from './checkRequest.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { forEach } from './forEach.js';
@@ -12,10 +13,13 @@
 
 /** Looks after every request and tells the other entries how things stand. */
 export const tick = (state: RoutingState, scope: Scope): Outcome => {
-  const checked = forEach(state, state.requests.keys(), (current, requestId) => {
-    const request = current.requests.get(requestId);
-    return request === undefined ? keep(current) : checkRequest(current, request, scope);
-  });
+  const timed = checkClocks(state, scope);
+  const checked = andThen(timed, (current) =>
+    forEach(current, current.requests.keys(), (next, requestId) => {
+      const request = next.requests.get(requestId);
+      return request === undefined ? keep(next) : checkRequest(next, request, scope);
+    }),
+  );
   const relieved = andThen(checked, (current) => refuseHopeless(current, scope));
   const dispatched = andThen(relieved, (current) =>
     forEach(current, current.waiting.keys(), (next, service) =>
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -73,6 +73,20 @@
     expect(entry.refusalOf(entry.arrive())?.reason).toBe('configurationUnconfirmed');
   });
 
+  it('has the configuration confirmed at once after such a jump, and only then', () => {
+    const entry = RoutingHarness.ready();
+    const countAsked = (): number =>
+      entry.effects.filter(({ type }) => type === 'confirmConfiguration').length;
+    entry.pass(1_000);
+    expect(countAsked()).toBe(0);
+    entry.wallOffsetMs += 6_000;
+    entry.pass(1_000);
+    expect(countAsked()).toBe(1);
+    entry.wallOffsetMs -= 6_000;
+    entry.pass(1_000);
+    expect(countAsked()).toBe(1);
+  });
+
   it('is refused by the steady clock where the time of day was set back', () => {
     const entry = RoutingHarness.ready();
     entry.wallOffsetMs -= 60_000;
