--- a/packages/router/src/process/newRoutingSettings.ts
+++ b/packages/router/src/process/newRoutingSettings.ts
@@ -3,13 +3,13 @@
 
 /** What the scheduler needs of a router's settings. */
 export const newRoutingSettings = (
-  { host, dataCentre, retries, quotaWindowMs, longestUnconfirmedMs }: RouterSettings,
+  { host, dataCentre, retries, quotas, longestUnconfirmedMs }: RouterSettings,
   incarnation: number,
 ): RoutingSettings => ({
   host,
   incarnation,
   dataCentre,
   retries,
-  quotaWindowMs,
+  quotas,
   longestUnconfirmedMs,
 });
--- a/packages/router/src/process/routerSettings.ts
+++ b/packages/router/src/process/routerSettings.ts
@@ -1,4 +1,4 @@
-import type { RetryPolicy } from '@parsleyhall/routing';
+import type { QuotaPolicy, RetryPolicy } from '@parsleyhall/routing';
 
 /** What a router process is set to. */
 export interface RouterSettings {
@@ -17,8 +17,7 @@
   /** Entries that may be there at the start, by IP address. */
   readonly peerAddresses: readonly string[];
   readonly retries: RetryPolicy;
-  /** Quotas hold in any window of this length, in milliseconds. */
-  readonly quotaWindowMs: number;
+  readonly quotas: QuotaPolicy;
   /** Requests with a key are refused where the configuration was last confirmed longer ago, in milliseconds. */
   readonly longestUnconfirmedMs: number;
   /** From a planned stop's signal until the process must be gone, in milliseconds. */
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -92,7 +92,7 @@
       peerPort: 0,
       peerAddresses: [],
       retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
-      quotaWindowMs: 8_000,
+      quotas: { windowMs: 8_000, overshoot: 0, slack: 0 },
       longestUnconfirmedMs: 4_850,
       stopWithinMs: 8_000,
     },
--- a/packages/routing/src/peers/receiveDigest.ts
+++ b/packages/routing/src/peers/receiveDigest.ts
@@ -14,8 +14,9 @@
   state: RoutingState,
   digest: PeerDigest,
   known: Peer | undefined,
-  { settings: { quotaWindowMs: windowMs }, nowMs }: Scope,
+  { settings, nowMs }: Scope,
 ): RoutingState['quotas'] => {
+  const { windowMs } = settings.quotas;
   // What an entry took before it was first heard may lie long back and is left out.
   const before =
     known === undefined
--- a/packages/routing/src/quota/getKnownQuotaShare.ts
+++ b/packages/routing/src/quota/getKnownQuotaShare.ts
@@ -16,4 +16,4 @@
 ): number =>
   knowsQuotaWindow(state, settings, nowMs)
     ? 1
-    : (CAUTION * (nowMs - state.quotasKnownSinceMs)) / settings.quotaWindowMs;
+    : (CAUTION * (nowMs - state.quotasKnownSinceMs)) / settings.quotas.windowMs;
--- a/packages/routing/src/quota/knowsQuotaWindow.ts
+++ b/packages/routing/src/quota/knowsQuotaWindow.ts
@@ -4,6 +4,6 @@
 /** Whether all that was taken in the latest window is known here. */
 export const knowsQuotaWindow = (
   { quotasKnownSinceMs }: RoutingState,
-  { quotaWindowMs }: RoutingSettings,
+  { quotas }: RoutingSettings,
   nowMs: number,
-): boolean => nowMs - quotasKnownSinceMs >= quotaWindowMs;
+): boolean => nowMs - quotasKnownSinceMs >= quotas.windowMs;
--- a/packages/routing/src/quota/learnQuotas.ts
+++ b/packages/routing/src/quota/learnQuotas.ts
@@ -21,7 +21,7 @@
   if (knowsQuotaWindow(state, settings, nowMs)) {
     return state;
   }
-  const { quotaWindowMs: windowMs } = settings;
+  const { windowMs } = settings.quotas;
   let { quotas } = state;
   for (const [team, amount] of Object.entries(taken)) {
     const known = quotas.get(team);
--- a/packages/routing/src/quota/takeQuota.ts
+++ b/packages/routing/src/quota/takeQuota.ts
@@ -30,7 +30,7 @@
   tokens: number | undefined,
   { settings, nowMs }: Scope,
 ): TakenQuota => {
-  const { quotaWindowMs: windowMs } = settings;
+  const { windowMs } = settings.quotas;
   const quota = team?.quota;
   if (team === undefined || quota === undefined || quota.perSecond <= 0) {
     return { state, cost: 0, waitMs: 0 };
@@ -39,7 +39,7 @@
   const cost = getQuotaCost(quota, tokens);
   const share = getQuotaShare([...state.peers.values()], nowMs);
   const knownShare = getKnownQuotaShare(state, settings, nowMs);
-  const allowance = getQuotaAllowance(quota, windowMs) * share;
+  const allowance = getQuotaAllowance(quota, settings.quotas) * share;
   const waitMs = Math.max(
     getQuotaWaitMs({ account, allowance: allowance * knownShare, cost, nowMs, windowMs }),
     getQuotaWaitMs({
--- a/packages/routing/src/routingSettings.ts
+++ b/packages/routing/src/routingSettings.ts
@@ -1,3 +1,4 @@
+import type { QuotaPolicy } from './quota/quotaPolicy.js';
 import type { RetryPolicy } from './retries/retryPolicy.js';
 
 /** What an entry's scheduler is set to. */
@@ -6,8 +7,7 @@
   readonly incarnation: number;
   readonly dataCentre: string;
   readonly retries: RetryPolicy;
-  /** Quotas hold in any window of this length, in milliseconds. */
-  readonly quotaWindowMs: number;
+  readonly quotas: QuotaPolicy;
   /** Requests with a key are refused where the configuration was last confirmed longer ago, in milliseconds. */
   readonly longestUnconfirmedMs: number;
 }
--- a/packages/routing/src/targets/chooseTarget.ts
+++ b/packages/routing/src/targets/chooseTarget.ts
@@ -1,16 +1,26 @@
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { Candidate } from './candidate.js';
-import { getNominalMs } from './getNominalMs.js';
 import { getPoolPaceMs } from './getPoolPaceMs.js';
-import { predictCost } from './predictCost.js';
+import type { Prediction } from './prediction.js';
+import { predictRun } from './predictRun.js';
 import type { ServicePace } from './servicePace.js';
 
-const hasRoom = ({ target, totalInFlight }: Candidate): boolean =>
+/** The part of the time left that a predicted run may take, since outputs turn out longer than expected. */
+const FIT_SHARE = 0.8;
+
+const hasRoom = ({ candidate: { target, totalInFlight } }: Prediction): boolean =>
   totalInFlight < target.listed.slots;
 
-const isRested = ({ target }: Candidate, nowMs: number): boolean => target.restsUntilMs <= nowMs;
+const findCheapest = (predictions: readonly Prediction[]): Prediction | undefined =>
+  predictions.reduce<Prediction | undefined>(
+    (best, next) => (best === undefined || next.costMs < best.costMs ? next : best),
+    undefined,
+  );
 
-/** The target with room that is predicted to serve the request best; one that rests only where all do. */
+/**
+ * The target with room that is predicted to serve the request best. A target that rests counts only where all do; one
+ * that is too slow to end in time only where all are, so that long work waits for a fast target.
+ */
 export const chooseTarget = ({
   request,
   candidates,
@@ -27,22 +37,13 @@
   const untried = candidates.filter(
     ({ target }) => !request.triedTargets.includes(target.listed.id),
   );
-  const rested = untried.filter((candidate) => isRested(candidate, nowMs));
-  const usable = (rested.length === 0 ? untried : rested).filter(hasRoom);
+  const rested = untried.filter(({ target }) => target.restsUntilMs <= nowMs);
   const poolPaceMs = getPoolPaceMs(candidates.map(({ target }) => target));
-  const nominalMs = getNominalMs(request, pace);
-  const costs = usable.map((candidate) => ({
-    candidate,
-    cost: predictCost({
-      candidate,
-      poolPaceMs,
-      nominalMs,
-      prefillMsPerToken: pace.prefillMsPerToken,
-      dataCentre,
-    }),
-  }));
-  return costs.reduce<(typeof costs)[number] | undefined>(
-    (best, next) => (best === undefined || next.cost < best.cost ? next : best),
-    undefined,
-  )?.candidate;
+  const predictions = (rested.length === 0 ? untried : rested).map((candidate) =>
+    predictRun({ request, candidate, poolPaceMs, pace, dataCentre, nowMs }),
+  );
+  const leftMs = (request.deadlineAtMs - nowMs) * FIT_SHARE;
+  const fitting = predictions.filter(({ runMs }) => runMs <= leftMs);
+  const usable = fitting.length === 0 ? predictions : fitting;
+  return findCheapest(usable.filter(hasRoom))?.candidate;
 };
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -31,7 +31,7 @@
       incarnation: 1,
       dataCentre: 'here',
       retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
-      quotaWindowMs: 8_000,
+      quotas: { windowMs: 8_000, overshoot: 0, slack: 0 },
       longestUnconfirmedMs: 4_850,
       ...settings,
     };
