Remember quotas by parts of the window; work beyond a quota goes behind its tier

Work that only the tolerance covers waits behind the rest of its tier. Digests carry the window only while an entry is heard that lacks it.

--- a/packages/router/src/peers/readDigest.ts
+++ b/packages/router/src/peers/readDigest.ts
@@ -1,4 +1,4 @@
-import type { PeerDigest } from '@parsleyhall/routing';
+import type { PeerDigest, RecentQuotas } from '@parsleyhall/routing';
 
 const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
@@ -8,6 +8,12 @@
     ? (value as Readonly<Record<string, number>>)
     : undefined;
 
+const readParts = (value: unknown): RecentQuotas | undefined =>
+  isRecord(value) &&
+  Object.values(value).every((parts) => Array.isArray(parts) && parts.every(Number.isFinite))
+    ? (value as RecentQuotas)
+    : undefined;
+
 interface Message {
   readonly digest: PeerDigest;
   /** IP addresses of entries that the sender knows. */
@@ -28,7 +34,7 @@
   const { host, incarnation, sequence, isLeaving } = value.digest;
   const inFlight = readCounts(value.digest.inFlight);
   const quotaTaken = readCounts(value.digest.quotaTaken);
-  const quotaRecent = readCounts(value.digest.quotaRecent);
+  const quotaRecent = readParts(value.digest.quotaRecent);
   if (
     typeof host !== 'string' ||
     typeof incarnation !== 'number' ||
@@ -47,6 +53,7 @@
       inFlight,
       quotaTaken,
       quotaRecent,
+      tellsRecent: value.digest.tellsRecent === true,
       knowsWindow: value.digest.knowsWindow === true,
       isLeaving: isLeaving === true,
     },
--- a/packages/router/src/process/platformLink.ts
+++ b/packages/router/src/process/platformLink.ts
@@ -1,3 +1,4 @@
+import type { RecentQuotas } from '@parsleyhall/routing';
 import type { RouterInputs } from './routerInputs.js';
 
 /** What a router needs of the platform that it runs on. */
@@ -6,6 +7,6 @@
   readonly follow: (inputs: RouterInputs) => void;
   /** Asks at once whether the configuration is still the newest. */
   readonly confirmConfiguration: () => void;
-  /** Keeps what was taken of the quotas, by team, for an entry that starts later; a failure is only logged. */
-  readonly rememberQuotas: (taken: Readonly<Record<string, number>>) => void;
+  /** Keeps what was taken of the quotas, for an entry that starts later; a failure is only logged. */
+  readonly rememberQuotas: (taken: RecentQuotas) => void;
 }
--- a/packages/router/src/process/routerInputs.ts
+++ b/packages/router/src/process/routerInputs.ts
@@ -1,4 +1,9 @@
-import type { Confirmation, ListedTarget, RoutingConfiguration } from '@parsleyhall/routing';
+import type {
+  Confirmation,
+  ListedTarget,
+  RecentQuotas,
+  RoutingConfiguration,
+} from '@parsleyhall/routing';
 
 /** Takes what a platform tells. */
 export interface RouterInputs {
@@ -6,7 +11,7 @@
   /** The platform held nothing newer than the latest configuration at that moment. */
   readonly takeConfirmation: (confirmed: Confirmation) => void;
   readonly takeTargets: (targets: readonly ListedTarget[]) => void;
-  /** What was taken of the quotas in the window before this start, by team. */
-  readonly takeRecalledQuotas: (taken: Readonly<Record<string, number>>) => void;
+  /** What was taken of the quotas in the window before this start. */
+  readonly takeRecalledQuotas: (taken: RecentQuotas) => void;
   readonly takePeerAddresses: (addresses: readonly string[]) => void;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,5 +20,6 @@
 export type { SendFailure } from './sendFailure.js';
 export type { StampedRoutingEvent } from './stampedRoutingEvent.js';
 export type { TeamQuota } from './configuration/teamQuota.js';
+export type { RecentQuotas } from './quota/recentQuotas.js';
 export type { QuotaPolicy } from './quota/quotaPolicy.js';
 export type { RetryPolicy } from './retries/retryPolicy.js';
--- a/packages/routing/src/peers/newDigest.ts
+++ b/packages/routing/src/peers/newDigest.ts
@@ -2,8 +2,12 @@
 import { knowsQuotaWindow } from '../quota/knowsQuotaWindow.js';
 import type { RoutingState } from '../routingState.js';
 import type { Scope } from '../steps/scope.js';
+import { isPeerHeard } from './isPeerHeard.js';
 import type { PeerDigest } from './peerDigest.js';
 
+const isAnyNew = ({ peers }: RoutingState, nowMs: number): boolean =>
+  [...peers.values()].some((peer) => !peer.digest.knowsWindow && isPeerHeard(peer, nowMs));
+
 /** What this entry tells the others now. */
 export const newDigest = (state: RoutingState, { settings, nowMs }: Scope): PeerDigest => ({
   host: settings.host,
@@ -17,7 +21,8 @@
   quotaTaken: Object.fromEntries(
     [...state.quotas].map(([team, { takenHere }]) => [team, takenHere]),
   ),
-  quotaRecent: getRecentQuotas(state, settings, nowMs),
+  quotaRecent: isAnyNew(state, nowMs) ? getRecentQuotas(state, settings, nowMs) : {},
+  tellsRecent: isAnyNew(state, nowMs),
   knowsWindow: knowsQuotaWindow(state, settings, nowMs),
   isLeaving: state.isLeaving,
 });
--- a/packages/routing/src/peers/peerDigest.ts
+++ b/packages/routing/src/peers/peerDigest.ts
@@ -1,3 +1,5 @@
+import type { RecentQuotas } from '../quota/recentQuotas.js';
+
 /** What an entry tells the others of itself, whole each time, so that a lost one costs nothing. */
 export interface PeerDigest {
   readonly host: string;
@@ -9,8 +11,9 @@
   readonly inFlight: Readonly<Record<string, number>>;
   /** What the entry took of each team's quota since its start, by team. */
   readonly quotaTaken: Readonly<Record<string, number>>;
-  /** What all entries took of each team's quota in the latest window, by team, as the entry knows it. */
-  readonly quotaRecent: Readonly<Record<string, number>>;
+  /** As the entry knows it; empty while every entry that is heard knows it too. */
+  readonly quotaRecent: RecentQuotas;
+  readonly tellsRecent: boolean;
   /** Whether the entry has known all that was taken for a whole window. */
   readonly knowsWindow: boolean;
   /** It serves nothing more after this. */
--- a/packages/routing/src/peers/receiveDigest.ts
+++ b/packages/routing/src/peers/receiveDigest.ts
@@ -45,7 +45,10 @@
   if (known !== undefined && isOutdated(known.digest, digest)) {
     return state;
   }
-  const learned = digest.knowsWindow ? learnQuotas(state, digest.quotaRecent, scope) : state;
+  const learned =
+    digest.knowsWindow && digest.tellsRecent
+      ? learnQuotas(state, digest.quotaRecent, scope)
+      : state;
   return {
     ...learned,
     quotas: chargeQuotas(learned, digest, known, scope),
--- a/packages/routing/src/queue/sortWaiting.ts
+++ b/packages/routing/src/queue/sortWaiting.ts
@@ -5,6 +5,9 @@
 
 /** Work below this part of the service's mean run is short. */
 const SHORT_RUN = 0.3;
+const SHORT_LANE = -1;
+/** Behind the rest of the same tier and ahead of the next. */
+const BEHIND_TIER = 0.5;
 
 interface Ranked {
   readonly request: TrackedRequest;
@@ -16,6 +19,13 @@
 const isShort = (request: TrackedRequest, pace: ServicePace): boolean =>
   getNominalMs(request, pace) < SHORT_RUN * pace.runMs;
 
+const getLane = (request: TrackedRequest, late: boolean, pace: ServicePace): number => {
+  if (request.isBeyondQuota) {
+    return request.tier + BEHIND_TIER;
+  }
+  return !late && isShort(request, pace) ? SHORT_LANE : request.tier;
+};
+
 const compare = (left: Ranked, right: Ranked): number =>
   left.lane - right.lane ||
   Number(left.isLate) - Number(right.isLate) ||
@@ -33,8 +43,7 @@
   [...waiting]
     .map((request): Ranked => {
       const late = isLate(request, pace, nowMs);
-      const lane = !late && isShort(request, pace) ? -1 : request.tier;
-      return { request, lane, isLate: late };
+      return { request, lane: getLane(request, late, pace), isLate: late };
     })
     .sort(compare)
     .map(({ request }) => request);
--- a/packages/routing/src/quota/learnQuotas.ts
+++ b/packages/routing/src/quota/learnQuotas.ts
@@ -2,20 +2,23 @@
 import type { Scope } from '../steps/scope.js';
 import { knowsQuotaWindow } from './knowsQuotaWindow.js';
 import type { QuotaAccount } from './quotaAccount.js';
+import type { RecentQuotas } from './recentQuotas.js';
 
-const SPANS = 8;
-
-/** As if it had been taken evenly over the window that ends now. */
-const spread = (taken: number, nowMs: number, windowMs: number): QuotaAccount['spans'] =>
-  Array.from({ length: SPANS }, (_, index) => ({
-    startMs: nowMs - (windowMs * (SPANS - index - 1)) / SPANS - 1,
-    taken: taken / SPANS,
+// Each part counts from its end, so that what it holds is never forgotten too early.
+const toSpans = (
+  parts: readonly number[],
+  nowMs: number,
+  windowMs: number,
+): QuotaAccount['spans'] =>
+  parts.map((taken, index) => ({
+    startMs: nowMs - (windowMs * (parts.length - index - 1)) / parts.length - 1,
+    taken,
   }));
 
-/** An entry that started lately learns what was taken in the window before, by team. */
+/** An entry that started lately learns what was taken in the window before. */
 export const learnQuotas = (
   state: RoutingState,
-  taken: Readonly<Record<string, number>>,
+  recent: RecentQuotas,
   { settings, nowMs }: Scope,
 ): RoutingState => {
   if (knowsQuotaWindow(state, settings, nowMs)) {
@@ -23,10 +26,10 @@
   }
   const { windowMs } = settings.quotas;
   let { quotas } = state;
-  for (const [team, amount] of Object.entries(taken)) {
+  for (const [team, parts] of Object.entries(recent)) {
     const known = quotas.get(team);
     quotas = quotas.set(team, {
-      spans: [...spread(amount, nowMs, windowMs), ...(known?.spans ?? [])],
+      spans: [...toSpans(parts, nowMs, windowMs), ...(known?.spans ?? [])],
       takenHere: known?.takenHere ?? 0,
     });
   }
--- a/packages/routing/src/quota/takeQuota.ts
+++ b/packages/routing/src/quota/takeQuota.ts
@@ -5,7 +5,9 @@
 import { chargeQuota } from './chargeQuota.js';
 import { getKnownQuotaShare } from './getKnownQuotaShare.js';
 import { getQuotaAllowance } from './getQuotaAllowance.js';
+import { getPlainQuota } from './getPlainQuota.js';
 import { getQuotaCost } from './getQuotaCost.js';
+import { getQuotaTaken } from './getQuotaTaken.js';
 import { getQuotaWaitMs } from './getQuotaWaitMs.js';
 import { newQuotaAccount } from './newQuotaAccount.js';
 
@@ -19,6 +21,8 @@
 interface TakenQuota {
   readonly state: RoutingState;
   readonly cost: number;
+  /** Covered by what is tolerated beyond the quota alone. */
+  readonly isBeyond: boolean;
   /** 0 where the quota covers the request. */
   readonly waitMs: number;
 }
@@ -33,7 +37,7 @@
   const { windowMs } = settings.quotas;
   const quota = team?.quota;
   if (team === undefined || quota === undefined || quota.perSecond <= 0) {
-    return { state, cost: 0, waitMs: 0 };
+    return { state, cost: 0, isBeyond: false, waitMs: 0 };
   }
   const account = state.quotas.get(team.name) ?? newQuotaAccount();
   const cost = getQuotaCost(quota, tokens);
@@ -51,9 +55,16 @@
     }),
   );
   if (waitMs > 0) {
-    return { state, cost, waitMs };
+    return { state, cost, isBeyond: true, waitMs };
   }
+  const plain = getPlainQuota(quota, windowMs) * share;
+  const isBeyond = getQuotaTaken(account, nowMs, windowMs) + cost > plain;
   const charged = chargeQuota({ account, amount: cost, nowMs, windowMs });
   const next = { ...charged, takenHere: charged.takenHere + cost };
-  return { state: { ...state, quotas: state.quotas.set(team.name, next) }, cost, waitMs: 0 };
+  return {
+    state: { ...state, quotas: state.quotas.set(team.name, next) },
+    cost,
+    isBeyond,
+    waitMs: 0,
+  };
 };
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -2,7 +2,7 @@
 import { indexConfiguration } from './configuration/indexConfiguration.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import { receiveDigest } from './peers/receiveDigest.js';
-import { learnQuotas } from './quota/learnQuotas.js';
+import { recallQuotas } from './quota/recallQuotas.js';
 import type { RoutingEffect } from './routingEffect.js';
 import type { RoutingEvent } from './routingEvent.js';
 import type { RoutingState } from './routingState.js';
@@ -68,7 +68,7 @@
     case 'digestReceived':
       return keep(receiveDigest(state, event.digest, scope));
     case 'quotasRecalled':
-      return keep(learnQuotas(state, event.taken, scope));
+      return keep(recallQuotas(state, event.taken, scope));
     case 'settingsRead':
       return keep({ ...state, settings: event.settings });
     case 'leaving':
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -10,6 +10,7 @@
   service,
   team,
   quotaCost,
+  isBeyondQuota,
   nowMs,
 }: {
   readonly arrival: Arrival;
@@ -17,6 +18,7 @@
   readonly service: string;
   readonly team: RoutedTeam | undefined;
   readonly quotaCost: number;
+  readonly isBeyondQuota: boolean;
   readonly nowMs: number;
 }): TrackedRequest => {
   const waitsMs = Math.min(arrival.deadlineMs ?? route.timeoutMs, route.timeoutMs);
@@ -33,6 +35,7 @@
     promptTokens: arrival.promptTokens ?? 0,
     outputTokens: arrival.expectedOutputTokens ?? arrival.maxOutputTokens ?? 0,
     quotaCost,
+    isBeyondQuota,
     triedTargets: [],
     arrivals: 0,
     sends: 0,
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -19,6 +19,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly quotaCost: number;
+  /** Its team has used up its quota; this is within what is tolerated beyond it. */
+  readonly isBeyondQuota: boolean;
   /** The send that is under way; undefined while it waits. */
   readonly send?: Send;
   /** Targets that got it. */
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -1,4 +1,5 @@
 import type { PeerDigest } from './peers/peerDigest.js';
+import type { RecentQuotas } from './quota/recentQuotas.js';
 import type { Refusal } from './requests/refusal.js';
 
 /** What the shell is to do. */
@@ -26,7 +27,7 @@
   | { readonly type: 'breakOff'; readonly requestId: number }
   | { readonly type: 'sendDigest'; readonly digest: PeerDigest }
   /** Keeps what was taken of the quotas for entries that start after all have stopped. */
-  | { readonly type: 'rememberQuotas'; readonly taken: Readonly<Record<string, number>> }
+  | { readonly type: 'rememberQuotas'; readonly taken: RecentQuotas }
   /** Asks at once whether the configuration is still the newest. */
   | { readonly type: 'confirmConfiguration' }
   | {
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -2,6 +2,7 @@
 import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import type { PeerDigest } from './peers/peerDigest.js';
+import type { RecentQuotas } from './quota/recentQuotas.js';
 import type { Arrival } from './requests/arrival.js';
 import type { RoutingSettings } from './routingSettings.js';
 import type { SendFailure } from './sendFailure.js';
@@ -35,8 +36,8 @@
   | { readonly type: 'configurationConfirmed'; readonly confirmed: Confirmation }
   | { readonly type: 'targetsListed'; readonly targets: readonly ListedTarget[] }
   | { readonly type: 'digestReceived'; readonly digest: PeerDigest }
-  /** What was taken of the quotas before this entry started, by team, as it was kept for that. */
-  | { readonly type: 'quotasRecalled'; readonly taken: Readonly<Record<string, number>> }
+  /** What was taken of the quotas before this entry started, as it was kept for that. */
+  | { readonly type: 'quotasRecalled'; readonly taken: RecentQuotas }
   | { readonly type: 'settingsRead'; readonly settings: RoutingSettings }
   | { readonly type: 'leaving' }
   | { readonly type: 'ticked' };
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -105,7 +105,16 @@
       describeQuota(team, taken.cost),
     );
   }
-  const request = newRequest({ arrival, route, service, team, quotaCost: taken.cost, nowMs });
+  const { cost: quotaCost, isBeyond: isBeyondQuota } = taken;
+  const request = newRequest({
+    arrival,
+    route,
+    service,
+    team,
+    quotaCost,
+    isBeyondQuota,
+    nowMs,
+  });
   const overload = findOverload(taken.state, request, scope);
   if (overload !== undefined) {
     return refuse(taken.state, request, overload, nowMs);
--- a/packages/routing/tests/shared.test.ts
+++ b/packages/routing/tests/shared.test.ts
@@ -56,6 +56,38 @@
     );
   });
 
+  it('is exceeded within the tolerance alone, and behind the work of teams within theirs', () => {
+    const teams = [
+      { name: 'red', keys: ['red-key'], quota: configuration.teams[0]?.quota },
+      { name: 'blue', keys: ['blue-key'] },
+    ].map(({ quota, ...team }) => (quota === undefined ? team : { ...team, quota }));
+    const entry = RoutingHarness.ready(
+      newConfiguration({ routes: [newRoute({ kind: 'nonIdempotent' })], teams }),
+      newTargets(1, { slots: 1 }),
+      { quotas: { windowMs: WINDOW_MS, overshoot: 0.2, slack: 100 } },
+    );
+    const tolerated = ALLOWANCE * 1.1 + 40;
+    const running = entry.arrive({ key: 'blue-key' });
+    let taken = 0;
+    let last = 0;
+    for (let turn = 0; turn < 40; turn += 1) {
+      entry.nowMs += 150;
+      entry.confirm();
+      const requestId = entry.arrive({ promptTokens: 10, maxOutputTokens: 0 });
+      if (entry.refusalOf(requestId) === undefined) {
+        taken += 10;
+        last = requestId;
+      }
+    }
+    expect(taken).toBeGreaterThan(ALLOWANCE);
+    expect(taken).toBeLessThanOrEqual(tolerated);
+    const within = entry.arrive({ key: 'blue-key' });
+    entry.end(running);
+    expect(entry.sendsOf(last)).toHaveLength(0);
+    expect(entry.state.requests.get(last)?.isBeyondQuota).toBe(true);
+    expect(entry.state.requests.get(within)?.isBeyondQuota).toBe(false);
+  });
+
   it('tells when to come back, and then has room', () => {
     const entry = readyWithQuota();
     isTaken(entry, 40);
@@ -103,10 +135,59 @@
     entry.nowMs += 4_000;
     entry.confirm();
     expect([isTaken(entry, 20), isTaken(entry, 10)]).toEqual([true, false]);
-    entry.run({ type: 'quotasRecalled', taken: { red: 50 } });
+    entry.run({ type: 'quotasRecalled', taken: { red: [10, 10, 10, 10, 0, 0, 5, 0] } });
     entry.nowMs += 2_000;
     entry.confirm();
     expect([isTaken(entry, 15), isTaken(entry, 30)]).toEqual([true, false]);
+    expect(entry.state.quotasKnownSinceMs).toBeLessThan(entry.nowMs - WINDOW_MS);
+  });
+
+  it('is learned from another entry that knows the window, if that tells it', () => {
+    const newEntry = (): RoutingHarness => {
+      const entry = new RoutingHarness();
+      entry.run({ type: 'configurationRead', configuration });
+      entry.run({ type: 'targetsListed', targets: newTargets(1, { slots: 100 }) });
+      entry.confirm();
+      return entry;
+    };
+    const told = newEntry();
+    const quotaRecent = { red: [0, 0, 0, 0, 0, 0, 0, 30] };
+    told.run({
+      type: 'digestReceived',
+      digest: newPeerDigest({ knowsWindow: true, tellsRecent: true, quotaRecent }),
+    });
+    expect([isTaken(told, 5), isTaken(told, 30)]).toEqual([true, false]);
+    const untold = newEntry();
+    untold.run({ type: 'digestReceived', digest: newPeerDigest({ knowsWindow: true }) });
+    expect(untold.state.quotasKnownSinceMs).toBe(untold.nowMs);
+  });
+
+  it('holds over the loss of all entries where most was taken just before', () => {
+    const before = readyWithQuota();
+    const taken: number[] = [];
+    const takeFor = (entry: RoutingHarness, ms: number): void => {
+      for (let leftMs = ms; leftMs > 0; leftMs -= 50) {
+        entry.pass(50);
+        if (isTaken(entry, 5)) {
+          taken.push(entry.nowMs);
+        }
+      }
+    };
+    before.pass(4_000);
+    takeFor(before, 4_300);
+    const kept = before.effects.findLast((effect) => effect.type === 'rememberQuotas');
+    const after = new RoutingHarness({}, before.nowMs + 500);
+    after.run({ type: 'configurationRead', configuration });
+    after.run({ type: 'targetsListed', targets: newTargets(1, { slots: 10_000 }) });
+    after.run({
+      type: 'quotasRecalled',
+      taken: kept?.type === 'rememberQuotas' ? kept.taken : {},
+    });
+    takeFor(after, 10_000);
+    const inWindow = taken.map(
+      (endMs) => 5 * taken.filter((atMs) => atMs <= endMs && atMs > endMs - WINDOW_MS).length,
+    );
+    expect(Math.max(...inWindow)).toBeLessThanOrEqual(ALLOWANCE * 1.1);
   });
 
   it('is kept once a second by the first entry by name alone', () => {
--- a/packages/routing/tests/support/newPeerDigest.ts
+++ b/packages/routing/tests/support/newPeerDigest.ts
@@ -8,6 +8,7 @@
   inFlight: {},
   quotaTaken: {},
   quotaRecent: {},
+  tellsRecent: false,
   knowsWindow: false,
   isLeaving: false,
   ...changes,
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -20,12 +20,13 @@
 export class RoutingHarness {
   state: RoutingState;
   effects: RoutingEffect[] = [];
-  nowMs = START_MS;
+  nowMs: number;
   /** How far the time of day has been set off the steady clock. */
   wallOffsetMs = 0;
   private nextRequestId = 1;
 
-  constructor(settings: Partial<RoutingSettings> = {}) {
+  constructor(settings: Partial<RoutingSettings> = {}, startMs = START_MS) {
+    this.nowMs = startMs;
     const whole: RoutingSettings = {
       host: 'self',
       incarnation: 1,
@@ -35,7 +36,7 @@
       longestUnconfirmedMs: 4_850,
       ...settings,
     };
-    this.state = newRoutingState(whole, START_MS);
+    this.state = newRoutingState(whole, startMs);
   }
 
   /** An entry that has been up for a whole window, with its configuration and targets. */
