--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,7 +6,7 @@
     resolve: { conditions: ['parsleyhall-source'], externalConditions: ['parsleyhall-source'] },
   },
   test: {
-    include: ['packages/*/src/**/*.test.ts', 'packages/*/tests/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', '{packages/*,platform}/tests/**/*.test.ts'],
     pool: 'forks',
     deps: { interopDefault: false },
     testTimeout: 120_000,
