--- a/packages/daemon/src/loop/createEventLoop.ts
+++ b/packages/common/src/createEventLoop.ts
@@ -1,4 +1,4 @@
-import type { Reducer } from '@parsleyhall/common';
+import type { Reducer } from './reducer.js';
 import type { EventLoop } from './eventLoop.js';
 
 /** Creates the loop around a reducer. An effect that fails becomes an event where it has one. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,8 @@
 export { assertNever } from './assertNever.js';
 export type { Branded } from './branded.js';
 export { clamp } from './clamp.js';
+export { createEventLoop } from './createEventLoop.js';
+export type { EventLoop } from './eventLoop.js';
 export { computeFingerprint } from './computeFingerprint.js';
 export { getByTier } from './getByTier.js';
 export { MS_PER_SECOND } from './msPerSecond.js';
--- a/packages/daemon/src/entryShell/startEntry.ts
+++ b/packages/daemon/src/entryShell/startEntry.ts
@@ -1,3 +1,4 @@
+import { createEventLoop } from '@parsleyhall/common';
 import { v7 as newUuid } from 'uuid';
 import type { Incarnation, RequestId } from '@parsleyhall/common';
 import { EMPTY_CONFIGURATION } from '@parsleyhall/configuration';
@@ -8,7 +9,6 @@
 import type { LogFailure } from '@parsleyhall/clients';
 import { createCallersServer } from '../callers/createCallersServer.js';
 import { startKeyLog } from '../keyLog/startKeyLog.js';
-import { createEventLoop } from '../loop/createEventLoop.js';
 import { getMonotonicMs } from '../loop/getMonotonicMs.js';
 import { createMetrics } from '@parsleyhall/metrics';
 import { registerProcessGauges } from '@parsleyhall/metrics';
--- a/packages/daemon/src/sideShell/startSide.ts
+++ b/packages/daemon/src/sideShell/startSide.ts
@@ -1,3 +1,4 @@
+import { createEventLoop } from '@parsleyhall/common';
 import { v7 as newUuid } from 'uuid';
 import type { Incarnation } from '@parsleyhall/common';
 import type { ConfigurationState } from '@parsleyhall/configuration';
@@ -6,7 +7,6 @@
 import { createSideReducer } from '@parsleyhall/side';
 import type { SideEffect, SideEvent, SideState } from '@parsleyhall/side';
 import { startLinkServer } from '../link/startLinkServer.js';
-import { createEventLoop } from '../loop/createEventLoop.js';
 import { getMonotonicMs } from '../loop/getMonotonicMs.js';
 import { createMetrics } from '@parsleyhall/metrics';
 import { registerProcessGauges } from '@parsleyhall/metrics';
--- a/packages/routing/src/requests/arrival.ts
+++ b/packages/routing/src/requests/arrival.ts
@@ -2,6 +2,8 @@
 export interface Arrival {
   /** Given by this entry, unique in it. */
   readonly requestId: number;
+  /** The caller's own id of this attempt; undefined where it gave none. */
+  readonly attemptId?: string;
   readonly host: string;
   readonly path: string;
   readonly key?: string;
--- a/packages/routing/src/requests/describeRequest.ts
+++ b/packages/routing/src/requests/describeRequest.ts
@@ -6,6 +6,7 @@
   nowMs: number,
 ): Readonly<Record<string, string | number | boolean>> => ({
   requestId: request.requestId,
+  ...(request.attemptId === undefined ? {} : { attemptId: request.attemptId }),
   route: request.route.name,
   service: request.service,
   tier: request.tier,
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -24,6 +24,7 @@
   const waitsMs = Math.min(arrival.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   return {
     requestId: arrival.requestId,
+    ...(arrival.attemptId === undefined ? {} : { attemptId: arrival.attemptId }),
     route,
     service,
     ...(team === undefined ? {} : { team: team.name }),
--- a/packages/routing/src/requests/startSend.ts
+++ b/packages/routing/src/requests/startSend.ts
@@ -47,7 +47,6 @@
       ...(request.team === undefined ? {} : { team: request.team }),
       remainingMs: Math.max(1, Math.floor(request.deadlineAtMs - nowMs)),
       isWhole: !isStream(request.route),
-      longestSilenceMs: request.route.longestSilenceMs,
     },
     {
       type: 'observe',
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -4,6 +4,8 @@
 /** A request from its arrival to its final answer. All moments are milliseconds of the steady clock. */
 export interface TrackedRequest {
   readonly requestId: number;
+  /** The caller's own id of this attempt. */
+  readonly attemptId?: string;
   readonly route: Route;
   readonly service: string;
   readonly team?: string;
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -15,11 +15,7 @@
       readonly remainingMs: number;
       /** The answer is one whole document, held back until it is complete. */
       readonly isWhole: boolean;
-      /** Also sent to the target, as seen by the caller; undefined where the caller sent none. */
-      readonly longestSilenceMs: number;
     }
-  /** Hands the answer of the send on to the caller. */
-  | { readonly type: 'relay'; readonly requestId: number; readonly sendId: number }
   /** Ends a send and takes nothing more of it. */
   | { readonly type: 'cancelSend'; readonly requestId: number; readonly sendId: number }
   | { readonly type: 'answer'; readonly requestId: number; readonly refusal: Refusal }
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -37,6 +37,7 @@
       name: 'requestRefused',
       fields: {
         requestId: arrival.requestId,
+        ...(arrival.attemptId === undefined ? {} : { attemptId: arrival.attemptId }),
         callerHost: arrival.host,
         reason: refusal.reason,
         status: refusal.status,
--- a/packages/routing/src/steps/beginAnswer.ts
+++ b/packages/routing/src/steps/beginAnswer.ts
@@ -58,9 +58,5 @@
     return failSend(state, request, 'broken', scope);
   }
   const began: TrackedRequest = { ...request, send: { ...send, latestMs: scope.nowMs } };
-  return keep(putRequest(state, began), {
-    type: 'relay',
-    requestId,
-    sendId: send.sendId,
-  });
+  return keep(putRequest(state, began));
 };
--- a/packages/routing/src/steps/failSend.ts
+++ b/packages/routing/src/steps/failSend.ts
@@ -29,6 +29,7 @@
       name: 'sendFailed',
       fields: {
         requestId,
+        ...(request.attemptId === undefined ? {} : { attemptId: request.attemptId }),
         sendId: send.sendId,
         target: send.targetId,
         failure,
