A team's own priority goes before its route's

Cause: RoutedTeam.priority was decoded and never read; newRequest took the tier from the route alone, so a team that the operator ranks otherwise waited with the rest of its route. Ruled out: a second sort key under the tier. Change: the tier is the team's priority, else the route's. Before: the new test in order.test.ts fails (the ranked team is not sent first). After: passes; 43 tests of the package pass.

--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -28,7 +28,7 @@
     route,
     service,
     ...(team === undefined ? {} : { team: team.name }),
-    tier: route.priority,
+    tier: team?.priority ?? route.priority,
     arrivedMs: nowMs,
     objectiveAtMs: nowMs + route.objectiveMs,
     patienceAtMs: nowMs + Math.min(route.longestSilenceMs, waitsMs),
--- a/packages/routing/tests/order.test.ts
+++ b/packages/routing/tests/order.test.ts
@@ -28,6 +28,29 @@
     expect(entry.sendsOf(usual)).toHaveLength(1);
   });
 
+  it("goes by a team's own priority where it has one, and by the route's elsewhere", () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({
+        routes: configuration.routes,
+        teams: [
+          { name: 'red', keys: ['red-key'] },
+          { name: 'blue', keys: ['blue-key'], priority: 0 },
+          { name: 'grey', keys: ['grey-key'], priority: 2 },
+        ],
+      }),
+      newTargets(1, { slots: 1 }),
+    );
+    let running = entry.arrive({ path: '/usual/0' });
+    const grey = entry.arrive({ path: '/urgent/1', key: 'grey-key' });
+    const red = entry.arrive({ path: '/usual/1' });
+    const blue = entry.arrive({ path: '/usual/2', key: 'blue-key' });
+    for (const next of [blue, red, grey]) {
+      entry.end(running);
+      expect(entry.sendsOf(next)).toHaveLength(1);
+      running = next;
+    }
+  });
+
   it('starts short work first while it can be on time, whatever its tier', () => {
     const entry = RoutingHarness.ready(
       newConfiguration({
