One place each for paces, repeats and HTTP listeners

Cause: the same test for a repeat stood in three steps, the default pace in six places, closing and binding an HTTP server in the router and the daemon. Change: getPace, mayArriveAgain and mayRunAgain in routing; closeHttp, listenHttp, splitAddress and ListenerAddress in common, used by both processes.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -20,3 +20,7 @@
 export { TIERS } from './tiers.js';
 export type { Reduction } from './reduction.js';
 export type { Reducer } from './reducer.js';
+export { closeHttp } from './closeHttp.js';
+export { listenHttp } from './listenHttp.js';
+export type { ListenerAddress } from './listenerAddress.js';
+export { splitAddress } from './splitAddress.js';
--- a/packages/common/src/splitAddress.ts
+++ b/packages/common/src/splitAddress.ts
@@ -1,5 +1,7 @@
-/** Host and port of an address such as `10.1.0.25:8221`. */
-export const splitAddress = (address: string): { readonly host: string; readonly port: number } => {
+import type { ListenerAddress } from './listenerAddress.js';
+
+/** The two parts of an `ip:port`. */
+export const splitAddress = (address: string): ListenerAddress => {
   const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+  return { address: address.slice(0, at), port: Number(address.slice(at + 1)) };
 };
--- a/packages/daemon/src/link/startLinkServer.ts
+++ b/packages/daemon/src/link/startLinkServer.ts
@@ -1,6 +1,6 @@
 import { Metadata, Server, ServerCredentials, status } from '@grpc/grpc-js';
 import type { ServerDuplexStream } from '@grpc/grpc-js';
-import type { EntryId } from '@parsleyhall/common';
+import type { EntryId, ListenerAddress } from '@parsleyhall/common';
 import {
   decodeBatch,
   decodeEntryToSideMessage,
@@ -8,7 +8,6 @@
   linkService,
 } from '@parsleyhall/protocol';
 import type { EntryToSideMessage, MalformedMessage } from '@parsleyhall/protocol';
-import type { ListenerAddress } from '../process/listenerAddress.js';
 import { createOutbox } from './createOutbox.js';
 import { linkOptions } from './linkOptions.js';
 import type { LinkServer } from './linkServer.js';
--- a/packages/daemon/src/operators/startOperatorListener.ts
+++ b/packages/daemon/src/operators/startOperatorListener.ts
@@ -1,9 +1,8 @@
 import { createServer } from 'node:http';
 import { H3, toNodeHandler } from 'h3';
+import { closeHttp, listenHttp } from '@parsleyhall/common';
+import type { ListenerAddress } from '@parsleyhall/common';
 import type { ProcessStatus } from '@parsleyhall/clients';
-import { closeHttp } from '../process/closeHttp.js';
-import type { ListenerAddress } from '../process/listenerAddress.js';
-import { listenHttp } from '../process/listenHttp.js';
 
 /** Begins to answer operators on `/status` and `/metrics`; connections of others than the settings allow are dropped. */
 export const startOperatorListener = async ({
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { listen } from '../process/listen.js';
+import { closeHttp, listenHttp, splitAddress } from '@parsleyhall/common';
 import type { CallersServer } from './callersServer.js';
 
 const MAX_HEADER_BYTES = 65_536;
@@ -32,7 +32,7 @@
   );
   return {
     countOpen: () => open,
-    listen: (address) => listen(server, address),
+    listen: (address) => listenHttp(server, splitAddress(address)),
     setIdleTimeoutMs: (idleTimeoutMs) => {
       server.keepAliveTimeout = idleTimeoutMs;
     },
@@ -42,12 +42,6 @@
     closeIdle: () => {
       server.closeIdleConnections();
     },
-    [Symbol.asyncDispose]: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    [Symbol.asyncDispose]: () => closeHttp(server),
   };
 };
--- a/packages/router/src/process/startMetricsListener.ts
+++ b/packages/router/src/process/startMetricsListener.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { Metrics } from '@parsleyhall/metrics';
-import { listen } from './listen.js';
+import { closeHttp, listenHttp, splitAddress } from '@parsleyhall/common';
 
 /** Answers with all metrics as text, whatever the path. */
 export const startMetricsListener = async (
@@ -12,15 +12,9 @@
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
     response.end(metrics.format());
   });
-  const bound = await listen(server, address);
+  const bound = await listenHttp(server, splitAddress(address));
   return {
     address: bound,
-    [Symbol.asyncDispose]: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    [Symbol.asyncDispose]: () => closeHttp(server),
   };
 };
--- a/packages/router/src/process/startReadiness.ts
+++ b/packages/router/src/process/startReadiness.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import { listen } from './listen.js';
+import { closeHttp, listenHttp, splitAddress } from '@parsleyhall/common';
 
 /** Answers the platform's question whether this process takes callers. */
 export const startReadiness = async ({
@@ -17,15 +17,9 @@
     response.writeHead(status, { 'content-length': '0' });
     response.end();
   });
-  const bound = await listen(server, address);
+  const bound = await listenHttp(server, splitAddress(address));
   return {
     address: bound,
-    [Symbol.asyncDispose]: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    [Symbol.asyncDispose]: () => closeHttp(server),
   };
 };
--- a/packages/routing/src/queue/findHopeless.ts
+++ b/packages/routing/src/queue/findHopeless.ts
@@ -2,8 +2,8 @@
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
 import { getCandidates } from '../targets/getCandidates.js';
+import { getPace } from '../targets/getPace.js';
 import { getPrefillMs } from '../targets/getPrefillMs.js';
-import { newServicePace } from '../targets/newServicePace.js';
 import { isLate } from './isLate.js';
 import { predictWaitMs } from './predictWaitMs.js';
 import { sortWaiting } from './sortWaiting.js';
@@ -21,7 +21,7 @@
   if (queue === undefined || queue.isEmpty()) {
     return [];
   }
-  const pace = state.paces.get(service) ?? newServicePace();
+  const pace = getPace(state, service);
   const candidates = getCandidates(state, service, nowMs);
   const entries = countEntries(state, nowMs);
   return sortWaiting(queue.values(), pace, nowMs).filter((request, ahead) => {
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -12,8 +12,8 @@
 import { noteSend } from '../retries/noteSend.js';
 import type { RoutingState } from '../routingState.js';
 import { getCandidates } from '../targets/getCandidates.js';
+import { getPace } from '../targets/getPace.js';
 import { getPrefillMs } from '../targets/getPrefillMs.js';
-import { newServicePace } from '../targets/newServicePace.js';
 import { admit } from './admit.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { keep } from './keep.js';
@@ -70,7 +70,7 @@
   if (candidates.length === 0) {
     return { status: 503, reason: 'noTarget', retryAfterMs: NO_TARGET_RETRY_MS };
   }
-  const pace = state.paces.get(request.service) ?? newServicePace();
+  const pace = getPace(state, request.service);
   const queue = [...(state.waiting.get(request.service)?.values() ?? [])];
   const ahead = queue.filter(({ tier }) => tier <= request.tier).length;
   const entries = countEntries(state, nowMs);
--- a/packages/routing/src/steps/beginAnswer.ts
+++ b/packages/routing/src/steps/beginAnswer.ts
@@ -1,8 +1,7 @@
 import type { AnswerHead } from '../answerHead.js';
-import { isRepeatable } from '../requests/isRepeatable.js';
 import { putRequest } from '../requests/putRequest.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
-import { isRepeatAllowed } from '../retries/isRepeatAllowed.js';
+import { mayRunAgain } from '../retries/mayRunAgain.js';
 import type { RoutingState } from '../routingState.js';
 import { noteFailure } from '../targets/noteFailure.js';
 import { updateTarget } from '../targets/updateTarget.js';
@@ -21,11 +20,7 @@
   request: TrackedRequest,
   head: AnswerHead,
   scope: Scope,
-): boolean =>
-  head.status >= FIRST_SERVER_ERROR &&
-  isRepeatable(request.route) &&
-  request.arrivals < request.route.maxAttempts &&
-  isRepeatAllowed(state, request.service, scope);
+): boolean => head.status >= FIRST_SERVER_ERROR && mayRunAgain(state, request, scope);
 
 const rest = (state: RoutingState, request: TrackedRequest, { nowMs }: Scope): RoutingState =>
   request.send === undefined
--- a/packages/routing/src/steps/checkRequest.ts
+++ b/packages/routing/src/steps/checkRequest.ts
@@ -1,12 +1,11 @@
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
-import { isRepeatable } from '../requests/isRepeatable.js';
 import type { Refusal } from '../requests/refusal.js';
 import { refuse } from '../requests/refuse.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
-import { isRepeatAllowed } from '../retries/isRepeatAllowed.js';
+import { mayRunAgain } from '../retries/mayRunAgain.js';
 import type { RoutingState } from '../routingState.js';
+import { getPace } from '../targets/getPace.js';
 import { getPrefillMs } from '../targets/getPrefillMs.js';
-import { newServicePace } from '../targets/newServicePace.js';
 import { failSend } from './failSend.js';
 import { isSilent } from './isSilent.js';
 import { keep } from './keep.js';
@@ -24,15 +23,12 @@
     : { status: 503, reason, retryAfterMs: getRetryAfterMs(state, service, nowMs) };
 
 const isHopeless = (state: RoutingState, request: TrackedRequest, nowMs: number): boolean => {
-  const pace = state.paces.get(request.service) ?? newServicePace();
+  const pace = getPace(state, request.service);
   return nowMs + getPrefillMs(request, pace) >= request.patienceAtMs;
 };
 
 const isWorthMoving = (state: RoutingState, request: TrackedRequest, scope: Scope): boolean =>
-  isSilent(request, scope.nowMs) &&
-  isRepeatable(request.route) &&
-  request.arrivals < request.route.maxAttempts &&
-  isRepeatAllowed(state, request.service, scope);
+  isSilent(request, scope.nowMs) && mayRunAgain(state, request, scope);
 
 /** Ends a request whose time is up and moves one whose target is stuck. */
 export const checkRequest = (
--- a/packages/routing/src/steps/dispatchWaiting.ts
+++ b/packages/routing/src/steps/dispatchWaiting.ts
@@ -3,7 +3,7 @@
 import type { RoutingState } from '../routingState.js';
 import { chooseTarget } from '../targets/chooseTarget.js';
 import { getCandidates } from '../targets/getCandidates.js';
-import { newServicePace } from '../targets/newServicePace.js';
+import { getPace } from '../targets/getPace.js';
 import { andThen } from './andThen.js';
 import { keep } from './keep.js';
 import type { Outcome } from './outcome.js';
@@ -19,7 +19,7 @@
   if (queue === undefined || queue.isEmpty()) {
     return keep(state);
   }
-  const pace = state.paces.get(service) ?? newServicePace();
+  const pace = getPace(state, service);
   let outcome = keep(state);
   for (const request of sortWaiting(queue.values(), pace, nowMs)) {
     const candidates = getCandidates(outcome.state, service, nowMs);
--- a/packages/routing/src/steps/endAnswer.ts
+++ b/packages/routing/src/steps/endAnswer.ts
@@ -5,8 +5,8 @@
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
 import { getEventPaceMs } from '../targets/getEventPaceMs.js';
+import { getPace } from '../targets/getPace.js';
 import { learnPace } from '../targets/learnPace.js';
-import { newServicePace } from '../targets/newServicePace.js';
 import { notePace } from '../targets/notePace.js';
 import { updateTarget } from '../targets/updateTarget.js';
 import { andThen } from './andThen.js';
@@ -34,7 +34,7 @@
   const paced = updateTarget(closed, send.targetId, (target) =>
     paceMs === undefined ? target : notePace(target, paceMs),
   );
-  const pace = learnPace(state.paces.get(service) ?? newServicePace(), request, send, nowMs);
+  const pace = learnPace(getPace(state, service), request, send, nowMs);
   const ended = keep(
     { ...paced, paces: state.paces.set(service, pace) },
     {
--- a/packages/routing/src/steps/sendAgain.ts
+++ b/packages/routing/src/steps/sendAgain.ts
@@ -1,13 +1,13 @@
 import { closeSend } from '../requests/closeSend.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
-import { isRepeatable } from '../requests/isRepeatable.js';
 import { putRequest } from '../requests/putRequest.js';
 import type { Refusal } from '../requests/refusal.js';
 import { refuse } from '../requests/refuse.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { withoutSend } from '../requests/withoutSend.js';
-import { isRepeatAllowed } from '../retries/isRepeatAllowed.js';
+import { mayArriveAgain } from '../retries/mayArriveAgain.js';
+import { mayRunAgain } from '../retries/mayRunAgain.js';
 import { noteSend } from '../retries/noteSend.js';
 import type { RoutingState } from '../routingState.js';
 import { andThen } from './andThen.js';
@@ -34,16 +34,9 @@
     case 'neverSent':
       return true;
     case 'notRun':
-      return (
-        request.arrivals < request.route.maxAttempts &&
-        isRepeatAllowed(state, request.service, scope)
-      );
+      return mayArriveAgain(state, request, scope);
     case 'unknown':
-      return (
-        isRepeatable(request.route) &&
-        request.arrivals < request.route.maxAttempts &&
-        isRepeatAllowed(state, request.service, scope)
-      );
+      return mayRunAgain(state, request, scope);
   }
 };
 
