Compare teams' priorities first, then their routes'

Ruled out: leaving the route's priority alone to decide, which ignores teams ranked apart. Change: waiting work is ordered by the team's own priority and, among teams of one priority, by the route's; short work stays first within its team's priority. A test for each case; the one of equal teams failed before. Lines show teamPriority where a team has one.

--- a/packages/routing/src/queue/sortWaiting.ts
+++ b/packages/routing/src/queue/sortWaiting.ts
@@ -11,7 +11,9 @@
 
 interface Ranked {
   readonly request: TrackedRequest;
-  /** Rows go out in the order of their lanes. */
+  /** The team's own priority; the lane where it has none. */
+  readonly rank: number;
+  /** Rows of one rank go out in the order of their lanes. */
   readonly lane: number;
   readonly isLate: boolean;
 }
@@ -27,13 +29,14 @@
 };
 
 const compare = (left: Ranked, right: Ranked): number =>
+  left.rank - right.rank ||
   left.lane - right.lane ||
   Number(left.isLate) - Number(right.isLate) ||
   left.request.objectiveAtMs - right.request.objectiveAtMs;
 
 /**
- * The order in which waiting work is started: short work that can be on time first, since it takes next to nothing
- * from the rest, then by tier; within a tier what can still be on time, the nearest objective first, then what is late.
+ * The order in which waiting work is started: by the team's own priority; within it short work that can be on time first, since
+ * it takes next to nothing from the rest, then by tier; within a tier what can still be on time, the nearest objective first, then what is late.
  */
 export const sortWaiting = (
   waiting: Iterable<TrackedRequest>,
@@ -43,7 +46,8 @@
   [...waiting]
     .map((request): Ranked => {
       const late = isLate(request, pace, nowMs);
-      return { request, lane: getLane(request, late, pace), isLate: late };
+      const lane = getLane(request, late, pace);
+      return { request, rank: request.teamPriority ?? lane, lane, isLate: late };
     })
     .sort(compare)
     .map(({ request }) => request);
--- a/packages/routing/src/requests/describeRequest.ts
+++ b/packages/routing/src/requests/describeRequest.ts
@@ -10,6 +10,7 @@
   route: request.route.name,
   service: request.service,
   tier: request.tier,
+  ...(request.teamPriority === undefined ? {} : { teamPriority: request.teamPriority }),
   ageMs: Math.round(nowMs - request.arrivedMs),
   leftMs: Math.round(request.deadlineAtMs - nowMs),
   sends: request.sends,
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -10,6 +10,9 @@
   readonly service: string;
   readonly team?: string;
   /** 0 is the most urgent. */
+  /** The team's own priority, which goes before its route's; 0 is the highest. */
+  readonly teamPriority?: number;
+  /** The priority of the route, which decides among teams of one priority; 0 is the highest. */
   readonly tier: number;
   readonly arrivedMs: number;
   /** From here on its answer, or its first event, is late. */
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -1,5 +1,6 @@
 import type { RoutedTeam } from '../configuration/routedTeam.js';
 import { countEntries } from '../peers/countEntries.js';
+import { compareRanks } from '../queue/compareRanks.js';
 import { predictWaitMs } from '../queue/predictWaitMs.js';
 import { takeQuota } from '../quota/takeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
@@ -72,7 +73,7 @@
   }
   const pace = getPace(state, request.service);
   const queue = [...(state.waiting.get(request.service)?.values() ?? [])];
-  const ahead = queue.filter(({ tier }) => tier <= request.tier).length;
+  const ahead = queue.filter((one) => compareRanks(one, request) <= 0).length;
   const entries = countEntries(state, nowMs);
   const waitMs = predictWaitMs({ ahead, candidates, runMs: pace.runMs, entries });
   const prefillMs = getPrefillMs(request, pace);
--- a/packages/routing/tests/order.test.ts
+++ b/packages/routing/tests/order.test.ts
@@ -28,6 +28,22 @@
     expect(entry.sendsOf(usual)).toHaveLength(1);
   });
 
+  it("goes by the team's own priority, and among teams of one priority by the route's", () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({
+        routes: configuration.routes,
+        teams: [{ name: 'red', keys: ['red-key'], priority: 1 }],
+      }),
+      newTargets(1, { slots: 1 }),
+    );
+    const running = entry.arrive({ path: '/usual/0' });
+    const usual = entry.arrive({ path: '/usual/1' });
+    const urgent = entry.arrive({ path: '/urgent/1' });
+    entry.end(running);
+    expect(entry.sendsOf(urgent)).toHaveLength(1);
+    expect(entry.sendsOf(usual)).toHaveLength(0);
+  });
+
   it("goes by a team's own priority where it has one, and by the route's elsewhere", () => {
     const entry = RoutingHarness.ready(
       newConfiguration({
