Stop the entry in the test once it has taken in its whole load

Cause of the listed failure: the test sent SIGTERM after the first answer had begun, at which time some of the 32 calls had not reached the entry. An entry that is stopping answers those with 503 'not run: draining', as it should. Shown by signalling 3, 10 and 20 ms after the load's start: every answer that was not whole was that one. Ruled out: a grant lost by the stopping side process (its answer would name another reason). Change: the test waits until the entry's status counts all its calls. The expectation is the same.

--- a/packages/daemon/tests/failures.test.ts
+++ b/packages/daemon/tests/failures.test.ts
@@ -8,6 +8,7 @@
 import { startTestSystem } from './support/startTestSystem.js';
 import { waitForRun } from './support/waitForRun.js';
 import { waitUntilServing } from './support/waitUntilServing.js';
+import { waitUntilTakenIn } from './support/waitUntilTakenIn.js';
 
 const CALLS = 32;
 
@@ -128,6 +129,8 @@
     const load = startLoad(url, CALLS);
     const otherLoad = startLoad(secondUrl, CALLS);
     await load.begun;
+    // What reaches an entry after its signal is refused as not run, as it should be.
+    await waitUntilTakenIn(entry, CALLS);
     entry.signal('SIGTERM');
     engineSide.signal('SIGTERM');
     const results = [...(await load.results), ...(await otherLoad.results)];
