A side process that stops refuses the grants that are out

Cause: on a planned stop it burnt its outstanding grants, told the entries with handBack, which an entry ignores once it has given the request, and ended within 3 ms. Ruled out: bytes lost at the end of the stream (the hand-backs arrive). Change: 'refused' with the grant's id goes out with the hand-back, which entries take at any time as 'did not run'. They place the request again. Test: lateBinding.test.ts, failing before. 90 tests of side and fuzz pass.

--- a/packages/side/src/leaving/updateLeaving.ts
+++ b/packages/side/src/leaving/updateLeaving.ts
@@ -23,8 +23,10 @@
     return undefined;
   }
   const { requestId, entry } = grant.waiting;
+  // The entry may have given the request already; only this tells it that the give finds no process.
   return newStep(
     burnGrant(context, state, grant),
+    sendToEntry(entry, { type: 'refused', grantId: grant.grantId, requestId }),
     sendToEntry(entry, {
       type: 'handBack',
       requestId,
--- a/packages/side/tests/lateBinding.test.ts
+++ b/packages/side/tests/lateBinding.test.ts
@@ -102,6 +102,16 @@
   expect(side.effects.at(-1)).toEqual({ type: 'stopped' });
 });
 
+test('a planned stop refuses what it has granted, since a give on its way finds no process', () => {
+  const side = new SideHarness().start('entry-1');
+  side.reserve('entry-1', 'a');
+  const grantId = getGrant(side, 'a');
+  const { requestId } = side.newReservation('a', {});
+  side.apply({ type: 'stopRequested' });
+  expect(side.messages()).toContainEqual({ type: 'refused', grantId, requestId });
+  expect(side.effects.at(-1)).toEqual({ type: 'stopped' });
+});
+
 test('tens of thousands of waiting reservations are handed back in one event', () => {
   const waiting = 20_000;
   const side = new SideHarness({ initialWindowRequests: 1, maximumWaiting: waiting });
