--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -1,6 +1,6 @@
 import type { RoutedTeam } from '../configuration/routedTeam.js';
 import { countEntries } from '../peers/countEntries.js';
-import { compareRanks } from '../queue/compareRanks.js';
+import { countAhead } from '../queue/countAhead.js';
 import { predictWaitMs } from '../queue/predictWaitMs.js';
 import { takeQuota } from '../quota/takeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
@@ -72,8 +72,8 @@
     return { status: 503, reason: 'noTarget', retryAfterMs: NO_TARGET_RETRY_MS };
   }
   const pace = getPace(state, request.service);
-  const queue = [...(state.waiting.get(request.service)?.values() ?? [])];
-  const ahead = queue.filter((one) => compareRanks(one, request) <= 0).length;
+  const queue = state.waiting.get(request.service)?.values() ?? [];
+  const ahead = countAhead(queue, request, pace, nowMs);
   const entries = countEntries(state, nowMs);
   const waitMs = predictWaitMs({ ahead, candidates, runMs: pace.runMs, entries });
   const prefillMs = getPrefillMs(request, pace);
--- a/packages/routing/tests/order.test.ts
+++ b/packages/routing/tests/order.test.ts
@@ -88,6 +88,18 @@
     expect(entry.sendsOf(urgent)).toHaveLength(0);
   });
 
+  it('takes short work in, though the queue that it goes ahead of is full', () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({ routes: [newRoute({ kind: 'stream' })] }),
+      newTargets(1, { slots: 1 }),
+    );
+    const long = { promptTokens: 100, maxOutputTokens: 300 };
+    const waiting = Array.from({ length: 60 }, () => entry.arrive(long));
+    expect(entry.refusalOf(waiting.at(-1) ?? 0)).toMatchObject({ reason: 'overloaded' });
+    const short = entry.arrive({ promptTokens: 100, maxOutputTokens: 1 });
+    expect(entry.refusalOf(short)).toBeUndefined();
+  });
+
   it('puts what is late already behind what can still be on time', () => {
     const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
     const running = entry.arrive({ path: '/usual/0' });
