Predict waits from the slots held less those of more urgent arrivals

Pattern: a service at its limit, where urgent work keeps arriving. Less urgent work was taken in by the length of the queue alone, was overtaken again and again and was refused when its caller was about to leave. Cause: the prediction took an equal share of the slots for each entry and no account of what arrives later and goes first. Change: work ahead, in milliseconds of nominal run, divided by the slots that this entry holds (half of an equal share at least) less those that more urgent arrivals of the last second keep busy. Work that is late counts later arrivals of its own lane too. A refusal says when that wait is over. Test: order.test.ts, failing before.

--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -11,6 +11,7 @@
   peers: Map(),
   quotas: Map(),
   retryCounts: Map(),
+  inflows: Map(),
   paces: Map(),
   quotasKnownSinceMs: nowMs,
   rememberedMs: nowMs,
--- a/packages/routing/src/queue/predictWaitMs.ts
+++ b/packages/routing/src/queue/predictWaitMs.ts
@@ -1,25 +1,40 @@
-import type { Candidate } from '../targets/candidate.js';
+import { getUrgentSlots } from '../flow/getUrgentSlots.js';
+import { countEntries } from '../peers/countEntries.js';
+import type { RoutingState } from '../routingState.js';
+import { getCandidates } from '../targets/getCandidates.js';
+import { getPace } from '../targets/getPace.js';
+import type { Ranked } from './ranked.js';
+
+/** The part of its equal share of the slots that an entry comes to again, however few it holds now. */
+const LEAST_SHARE = 0.5;
+/** Less of a slot than this is none. */
+const LEAST_SLOTS = 0.1;
 
 /**
- * How long until a request that has this many ahead of it is started, in milliseconds: each target frees its slots
- * once per mean run, and this entry gets its part of them.
+ * How long until a request with this work ahead of it is started, in milliseconds: the work takes the slots that this
+ * entry holds, less those that more urgent work will take meanwhile. Infinite where nothing is left.
  */
-export const predictWaitMs = ({
-  ahead,
-  candidates,
-  runMs,
-  entries,
-}: {
-  readonly ahead: number;
-  readonly candidates: readonly Candidate[];
-  readonly runMs: number;
-  readonly entries: number;
-}): number => {
-  const slots = candidates.reduce((sum, { target }) => sum + target.listed.slots, 0);
-  const free = candidates.reduce(
-    (sum, { target, totalInFlight }) => sum + Math.max(0, target.listed.slots - totalInFlight),
-    0,
-  );
-  const own = Math.max(1, slots / Math.max(1, entries));
-  return (Math.max(0, ahead + 1 - free) * runMs) / own;
+export const predictWaitMs = (
+  state: RoutingState,
+  service: string,
+  nowMs: number,
+): ((own: Ranked, ahead: { readonly count: number; readonly workMs: number }) => number) => {
+  const listed = getCandidates(state, service, nowMs).map(({ target, totalInFlight }) => ({
+    slots: target.listed.slots,
+    free: Math.max(0, target.listed.slots - totalInFlight),
+    own: target.inFlight,
+  }));
+  const free = listed.reduce((sum, target) => sum + target.free, 0);
+  const all = listed.reduce((sum, target) => sum + target.slots, 0);
+  const held = listed.reduce((sum, target) => sum + target.own, 0);
+  const slots = Math.max(1, held, (LEAST_SHARE * all) / countEntries(state, nowMs));
+  const inflows = state.inflows.get(service) ?? [];
+  const { runMs } = getPace(state, service);
+  return (own, { count, workMs }) => {
+    if (count < free) {
+      return 0;
+    }
+    const left = slots - getUrgentSlots(inflows, own, nowMs);
+    return left < LEAST_SLOTS ? Infinity : (workMs + runMs) / left;
+  };
 };
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -1,6 +1,7 @@
 import type { Map } from 'immutable';
 import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingIndex } from './configuration/routingIndex.js';
+import type { Inflow } from './flow/inflow.js';
 import type { Peer } from './peers/peer.js';
 import type { QuotaAccount } from './quota/quotaAccount.js';
 import type { TrackedRequest } from './requests/trackedRequest.js';
@@ -29,6 +30,8 @@
   /** By service. */
   readonly retryCounts: Map<string, readonly RetryCount[]>;
   /** By service. */
+  readonly inflows: Map<string, readonly Inflow[]>;
+  /** By service. */
   readonly paces: Map<string, ServicePace>;
   /** From here on all that was taken of the quotas is known, in milliseconds of the steady clock. */
   readonly quotasKnownSinceMs: number;
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -1,7 +1,7 @@
 import type { RoutedTeam } from '../configuration/routedTeam.js';
-import { countEntries } from '../peers/countEntries.js';
-import { countAhead } from '../queue/countAhead.js';
-import { predictWaitMs } from '../queue/predictWaitMs.js';
+import { noteInflow } from '../flow/noteInflow.js';
+import { getWaitMs } from '../queue/getWaitMs.js';
+import { rankWaiting } from '../queue/rankWaiting.js';
 import { takeQuota } from '../quota/takeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
@@ -71,21 +71,22 @@
   if (candidates.length === 0) {
     return { status: 503, reason: 'noTarget', retryAfterMs: NO_TARGET_RETRY_MS };
   }
-  const pace = getPace(state, request.service);
-  const queue = state.waiting.get(request.service)?.values() ?? [];
-  const ahead = countAhead(queue, request, pace, nowMs);
-  const entries = countEntries(state, nowMs);
-  const waitMs = predictWaitMs({ ahead, candidates, runMs: pace.runMs, entries });
-  const prefillMs = getPrefillMs(request, pace);
+  const waitMs = getWaitMs(state, request, nowMs);
+  const prefillMs = getPrefillMs(request, getPace(state, request.service));
   return nowMs + waitMs + prefillMs <= request.patienceAtMs
     ? undefined
     : {
         status: 503,
         reason: 'overloaded',
-        retryAfterMs: getRetryAfterMs(state, request.service, nowMs),
+        retryAfterMs: getRetryAfterMs(waitMs),
       };
 };
 
+const takeIn = (state: RoutingState, request: TrackedRequest, nowMs: number): RoutingState => {
+  const ranked = rankWaiting(request, getPace(state, request.service), nowMs);
+  return putRequest(noteInflow(state, ranked, nowMs), request);
+};
+
 /** Takes an arriving request in, or answers it at once. */
 export const arrive = (state: RoutingState, arrival: Arrival, scope: Scope): Outcome => {
   const { nowMs } = scope;
@@ -121,5 +122,5 @@
   if (overload !== undefined) {
     return refuse(taken.state, request, overload, nowMs);
   }
-  return dispatchWaiting(putRequest(taken.state, request), service, scope);
+  return dispatchWaiting(takeIn(taken.state, request, nowMs), service, scope);
 };
--- a/packages/routing/src/steps/checkRequest.ts
+++ b/packages/routing/src/steps/checkRequest.ts
@@ -1,3 +1,4 @@
+import { getWaitMs } from '../queue/getWaitMs.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
 import type { Refusal } from '../requests/refusal.js';
 import { refuse } from '../requests/refuse.js';
@@ -14,13 +15,13 @@
 
 const getRefusal = (
   state: RoutingState,
-  { mayHaveRun, service }: TrackedRequest,
+  request: TrackedRequest,
   reason: 'deadlinePassed' | 'overloaded',
   nowMs: number,
 ): Refusal =>
-  mayHaveRun
+  request.mayHaveRun
     ? { status: 504, reason: 'timedOut' }
-    : { status: 503, reason, retryAfterMs: getRetryAfterMs(state, service, nowMs) };
+    : { status: 503, reason, retryAfterMs: getRetryAfterMs(getWaitMs(state, request, nowMs)) };
 
 const isHopeless = (state: RoutingState, request: TrackedRequest, nowMs: number): boolean => {
   const pace = getPace(state, request.service);
--- a/packages/routing/src/steps/refuseHopeless.ts
+++ b/packages/routing/src/steps/refuseHopeless.ts
@@ -10,11 +10,11 @@
 /** Gives up what waits in vain, so that its caller can go on. */
 export const refuseHopeless = (state: RoutingState, { nowMs }: Scope): Outcome =>
   forEach(state, state.waiting.keys(), (current, service) => {
-    const retryAfterMs = getRetryAfterMs(current, service, nowMs);
-    return forEach(current, findHopeless(current, service, nowMs), (next, request) => {
+    const hopeless = findHopeless(current, service, nowMs);
+    return forEach(current, hopeless, (next, { request, waitMs }) => {
       const refusal: Refusal = request.mayHaveRun
         ? { status: 504, reason: 'timedOut' }
-        : { status: 503, reason: 'overloaded', retryAfterMs };
+        : { status: 503, reason: 'overloaded', retryAfterMs: getRetryAfterMs(waitMs) };
       return refuse(next, request, refusal, nowMs);
     });
   });
--- a/packages/routing/src/steps/sendAgain.ts
+++ b/packages/routing/src/steps/sendAgain.ts
@@ -1,3 +1,4 @@
+import { getWaitMs } from '../queue/getWaitMs.js';
 import { closeSend } from '../requests/closeSend.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
@@ -46,7 +47,7 @@
     : {
         status: 503,
         reason: 'refusedByTargets',
-        retryAfterMs: getRetryAfterMs(state, request.service, nowMs),
+        retryAfterMs: getRetryAfterMs(getWaitMs(state, request, nowMs)),
       };
 
 const afterSend = (request: TrackedRequest, result: SendResult): TrackedRequest => {
--- a/packages/routing/tests/order.test.ts
+++ b/packages/routing/tests/order.test.ts
@@ -100,6 +100,32 @@
     expect(entry.refusalOf(short)).toBeUndefined();
   });
 
+  it('refuses at once what more urgent arrivals will keep from being started', () => {
+    const stream = { kind: 'stream' } as const;
+    const entry = RoutingHarness.ready(
+      newConfiguration({
+        routes: [
+          newRoute({ ...stream, pathPrefix: '/urgent/', priority: 0 }),
+          newRoute({ ...stream, pathPrefix: '/usual/', priority: 1 }),
+        ],
+      }),
+      newTargets(1, { slots: 2 }),
+    );
+    const work = { promptTokens: 100, maxOutputTokens: 300 };
+    const running = [entry.arrive({ path: '/usual/0', ...work })];
+    running.push(entry.arrive({ path: '/usual/1', ...work }));
+    const early = entry.arrive({ path: '/usual/2', ...work });
+    expect(entry.refusalOf(early)).toBeUndefined();
+    for (let turn = 0; turn < 4; turn += 1) {
+      running.push(entry.arrive({ path: '/urgent/1', ...work }));
+      entry.pass(200);
+      entry.end(running.shift() ?? 0);
+    }
+    const late = entry.arrive({ path: '/usual/3', ...work });
+    expect(entry.refusalOf(late)).toMatchObject({ status: 503, reason: 'overloaded' });
+    expect(entry.refusalOf(late)?.retryAfterMs).toBeGreaterThan(1_000);
+  });
+
   it('puts what is late already behind what can still be on time', () => {
     const entry = RoutingHarness.ready(configuration, newTargets(1, { slots: 1 }));
     const running = entry.arrive({ path: '/usual/0' });
