One catalogue of log lines, checked by types and printed as a page

Cause: lines were written by name with whatever fields; no list told on-call engineers what to expect, a waiting request, a lost entry, a changed target list and a resting target had no line, and refusals lacked the prediction that decided them. Change: routing and router have a catalogue each (names, levels, fields with units); effects and the writer take just these. New lines: requestQueued, peerHeard, peerLost, targetListed, targetGone, targetRests, callTurnedAway; refusals carry waitMs, prefillMs, retryAfterMs, version and the age of the configuration. docs/LINES.md is made from the catalogues and a test fails when it is not current. Bounds: the output takes 2 MiB a second and holds 1 MiB for a slow reader; an eighth of both is kept for lines about the process, those about requests go first, and a line says how many were left out. An end no longer waits for a reader that has stalled: the process would have been killed at the end of its grace. Tests: a stalled reader (20,000 lines: every one came or was counted, under 2 MiB kept), callers served meanwhile, lines about beliefs told once, every line against the catalogue.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,5 @@
-export { createBoundedOutput } from './process/createBoundedOutput.js';
-export { createRouterLogger } from './process/createRouterLogger.js';
+export { createBoundedOutput } from './lines/createBoundedOutput.js';
+export { createLineWriter } from './lines/createLineWriter.js';
 export { getClocks } from './process/getClocks.js';
 export { startRouter } from './process/startRouter.js';
 export type { AnswerHeaders } from './calls/answerHeaders.js';
@@ -7,6 +7,7 @@
 export type { CallHeaders } from './calls/callHeaders.js';
 export type { PlatformLink } from './process/platformLink.js';
 export type { RouterInputs } from './process/routerInputs.js';
-export type { RouterLogger } from './process/routerLogger.js';
+export type { LineWriter } from './lines/lineWriter.js';
+export { renderLinesReference } from './lines/renderLinesReference.js';
 export type { RouterSettings } from './process/routerSettings.js';
 export type { RunningRouter } from './process/runningRouter.js';
--- /dev/null
+++ b/packages/router/src/lines/processLines.ts
@@ -0,0 +1,111 @@
+/** Every log line about the process itself: its level, what it means, its fields, and those that it has only at times. */
+export const PROCESS_LINES = {
+  started: {
+    level: 'info',
+    text: 'the process takes callers at this address',
+    fields: ['address'],
+    optional: [],
+  },
+  stopping: {
+    level: 'info',
+    text: 'a signal to stop came; what is open is finished',
+    fields: ['open'],
+    optional: [],
+  },
+  stopped: {
+    level: 'info',
+    text: 'the process ends; what is open is cut',
+    fields: ['open'],
+    optional: [],
+  },
+  callTurnedAway: {
+    level: 'info',
+    text: 'a request was answered before it was judged',
+    fields: ['reason', 'status'],
+    optional: ['attemptId'],
+  },
+  effectFailed: {
+    level: 'error',
+    text: 'an effect of a decision failed inside the process',
+    fields: ['type', 'detail'],
+    optional: [],
+  },
+  peerMessageRefused: {
+    level: 'warn',
+    text: 'a datagram of another entry could not be read',
+    fields: ['detail'],
+    optional: [],
+  },
+  settingsApplied: {
+    level: 'info',
+    text: 'the settings file was read again and holds',
+    fields: ['cause'],
+    optional: [],
+  },
+  settingsUnchanged: {
+    level: 'info',
+    text: 'the settings file was read again and is the same',
+    fields: ['cause'],
+    optional: [],
+  },
+  settingsUnreadable: {
+    level: 'warn',
+    text: 'the settings file could not be read; the last ones hold',
+    fields: ['cause', 'fault'],
+    optional: [],
+  },
+  settingsRefused: {
+    level: 'error',
+    text: 'the settings file is faulty; the last ones hold',
+    fields: ['cause', 'fault'],
+    optional: [],
+  },
+  storeLost: {
+    level: 'warn',
+    text: "the platform's store gave no answer; the last state holds",
+    fields: ['topic', 'type', 'detail'],
+    optional: [],
+  },
+  storeRegained: {
+    level: 'info',
+    text: "the platform's store answers again",
+    fields: ['topic'],
+    optional: [],
+  },
+  configurationMalformed: {
+    level: 'error',
+    text: 'a configuration could not be read; the last one holds',
+    fields: ['fault'],
+    optional: [],
+  },
+  targetMalformed: {
+    level: 'warn',
+    text: 'a row of the list names no target that can be used',
+    fields: ['key', 'fault'],
+    optional: [],
+  },
+  quotasRecalled: {
+    level: 'info',
+    text: 'what was taken of the quotas before this start was read',
+    fields: ['recordAgeMs'],
+    optional: [],
+  },
+  memoryMalformed: {
+    level: 'warn',
+    text: 'what the entries keep in the store could not be read',
+    fields: ['fault'],
+    optional: [],
+  },
+  memoryNotWritten: {
+    level: 'warn',
+    text: 'what was taken of the quotas could not be kept',
+    fields: ['type', 'detail'],
+    optional: [],
+  },
+  linesLeftOut: {
+    level: 'warn',
+    text: 'lines were left out, since they were too many or their reader too slow',
+    fields: ['lines'],
+    optional: [],
+  },
+} as const;
--- a/packages/router/src/process/createPlannedStop.ts
+++ b/packages/router/src/process/createPlannedStop.ts
@@ -1,6 +1,6 @@
 import type { CallersServer } from '../callers/callersServer.js';
+import type { LineWriter } from '../lines/lineWriter.js';
 import type { PlannedStop } from './plannedStop.js';
-import type { RouterLogger } from './routerLogger.js';
 
 /** From a stop's signal until no new connection is taken: the platform's checks notice within two periods. */
 const LISTENING_MS = 2_600;
@@ -13,13 +13,13 @@
   getCallers,
   getStopWithinMs,
   announce,
-  logger,
+  lines,
 }: {
   readonly getCallers: () => CallersServer;
   readonly getStopWithinMs: () => number;
   /** Tells the other entries. */
   readonly announce: () => void;
-  readonly logger: RouterLogger;
+  readonly lines: LineWriter;
 }): PlannedStop => {
   let isStopping = false;
   let isClosed = false;
@@ -51,12 +51,12 @@
       }
       isStopping = true;
       const startMs = performance.now();
-      logger.info({ event: 'stopping', open: getCallers().countOpen() }, 'stopping');
+      lines.write({ name: 'stopping', fields: { open: getCallers().countOpen() } });
       announce();
       const checking = setInterval(() => {
         if (check(performance.now() - startMs)) {
           clearInterval(checking);
-          logger.info({ event: 'stopped', open: getCallers().countOpen() }, 'stopped');
+          lines.write({ name: 'stopped', fields: { open: getCallers().countOpen() } });
           openStopped();
         }
       }, CHECK_MS);
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createEventLoop } from '@parsleyhall/common';
 import { createMetrics } from '@parsleyhall/metrics';
 import { newRoutingState, reduceRouting } from '@parsleyhall/routing';
@@ -8,11 +7,11 @@
   RoutingState,
   StampedRoutingEvent,
 } from '@parsleyhall/routing';
+import { createCallHandler } from '../callers/createCallHandler.js';
 import { createCallersServer } from '../callers/createCallersServer.js';
-import { readBody } from '../callers/readBody.js';
-import { sendRefusal } from '../callers/sendRefusal.js';
 import type { CallCodec } from '../calls/callCodec.js';
 import { createCallTable } from '../calls/createCallTable.js';
+import type { LineWriter } from '../lines/lineWriter.js';
 import { startPeerLink } from '../peers/startPeerLink.js';
 import { createPlannedStop } from './createPlannedStop.js';
 import { getClocks } from './getClocks.js';
@@ -20,27 +19,24 @@
 import type { PlatformLink } from './platformLink.js';
 import { recordDecision } from './recordDecision.js';
 import { registerRouterGauges } from './registerRouterGauges.js';
-import type { RouterLogger } from './routerLogger.js';
 import type { RouterSettings } from './routerSettings.js';
 import type { RunningRouter } from './runningRouter.js';
 import { startMetricsListener } from './startMetricsListener.js';
 import { startReadiness } from './startReadiness.js';
 
 const TICK_MS = 50;
-/** When to come back to a host whose entry is stopping, at another entry, in milliseconds. */
-const STOPPING_RETRY_MS = 100;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
 /** Starts the process that takes callers, schedules their requests and calls the targets itself. */
 export const startRouter = async ({
   settings,
   codec,
-  logger,
+  lines,
   platform,
 }: {
   readonly settings: RouterSettings;
   readonly codec: CallCodec;
-  readonly logger: RouterLogger;
+  readonly lines: LineWriter;
   readonly platform: PlatformLink;
 }): Promise<RunningRouter> => {
   const metrics = createMetrics();
@@ -52,7 +48,7 @@
     stampEvent: (event) => ({ now: getClocks(), event }),
     runEffect,
     toFailureEvent: ({ type }, error) => {
-      logger.error({ event: 'effectFailed', type, err: error }, 'effect failed');
+      lines.write({ name: 'effectFailed', fields: { type, detail: String(error) } });
       return undefined;
     },
   });
@@ -63,7 +59,7 @@
     announce: () => {
       dispatch({ type: 'leaving' });
     },
-    logger,
+    lines,
   });
 
   const calls = createCallTable({ codec, dispatch, isClosing: stop.isStopping });
@@ -92,37 +88,20 @@
         platform.rememberQuotas(effect.taken);
         return;
       case 'observe':
-        recordDecision(metrics, effect.name, effect.fields);
-        logger.info({ event: effect.name, ...effect.fields }, effect.name);
+        recordDecision(metrics, effect);
+        lines.observe(effect);
         return;
     }
   }
 
-  const handle = (request: IncomingMessage, response: ServerResponse): void => {
-    const arrivedMs = performance.now();
-    if (stop.isClosed()) {
-      request.resume();
-      response.shouldKeepAlive = false;
-      sendRefusal(response, { status: 503, reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS });
-      return;
-    }
-    // A connection whose answer began before the stop was told that it would be kept.
-    response.once('finish', () => {
-      if (stop.isStopping()) {
-        request.socket.end();
-      }
-    });
-    const maxBytes = getState().index?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    readBody(request, maxBytes, (body) => {
-      if (body === undefined) {
-        response.shouldKeepAlive = false;
-        response.writeHead(413, { 'content-length': '0' });
-        response.end();
-        return;
-      }
-      calls.take({ request, response, body, arrivedMs });
-    });
-  };
+  const handle = createCallHandler({
+    codec,
+    calls,
+    stop,
+    lines,
+    getMaxBodyBytes: () =>
+      getState().index?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+  });
 
   registerRouterGauges(metrics, getState);
   const metricsListener = await startMetricsListener(settings.metricsAddress, metrics);
@@ -134,7 +113,7 @@
       dispatch({ type: 'digestReceived', digest });
     },
     noteFailure: (failure) => {
-      logger.warn({ event: 'peerMessageRefused', failure }, 'peer message refused');
+      lines.write({ name: 'peerMessageRefused', fields: { detail: failure } });
     },
     getNowMs: () => performance.now(),
   });
@@ -149,7 +128,7 @@
     isReady,
   });
   const callersAddress = await callers.listen(settings.callersAddress);
-  logger.info({ event: 'started', address: callersAddress }, 'started');
+  lines.write({ name: 'started', fields: { address: callersAddress } });
 
   platform.follow({
     takeConfiguration: (configuration) => {
--- /dev/null
+++ b/packages/router/tests/lines.test.ts
@@ -0,0 +1,87 @@
+import { readFileSync } from 'node:fs';
+import { format, resolveConfig } from 'prettier';
+import { expect, test } from 'vitest';
+import { createBoundedOutput, createLineWriter, renderLinesReference } from '../src/index.js';
+import { openStalledPipe } from './support/openStalledPipe.js';
+import { startRawTarget } from './support/startRawTarget.js';
+import { startTestRouter } from './support/startTestRouter.js';
+
+const MEBIBYTE = 1_048_576;
+const SECOND_MS = 1_000;
+const NAMES = { host: 'self', dataCentre: 'here' };
+
+interface Line {
+  readonly event?: string;
+  readonly lines?: number;
+  readonly host?: string;
+}
+
+const parseLines = (text: string): readonly Line[] =>
+  text
+    .split('\n')
+    .slice(0, -1)
+    .map((line) => JSON.parse(line) as Line);
+
+test('a reader that stalls costs bounded memory and is told how many lines it missed', async () => {
+  await using pipe = await openStalledPipe();
+  let nowMs = 0;
+  const output = createBoundedOutput(pipe.descriptor, () => nowMs);
+  const lines = createLineWriter({ ...NAMES, output });
+  const fault = 'x'.repeat(1_000);
+  const count = 20_000;
+  for (let index = 0; index < count; index += 1) {
+    lines.write({ name: 'memoryMalformed', fields: { fault } });
+  }
+  const reading = pipe.readUntil('"settingsApplied"');
+  await pipe.readUntil('"memoryMalformed"');
+  nowMs += SECOND_MS;
+  lines.write({ name: 'settingsApplied', fields: { cause: 'signal' } });
+  const seen = parseLines(await reading);
+  const came = seen.filter(({ event }) => event === 'memoryMalformed').length;
+  const missed = seen.find(({ event }) => event === 'linesLeftOut');
+  expect(came * fault.length).toBeLessThan(2 * MEBIBYTE);
+  expect(came + (missed?.lines ?? 0)).toBe(count);
+  expect(missed?.host).toBe('self');
+});
+
+test('lines about the process have room left when those about requests have none', () => {
+  const written: string[] = [];
+  const lines = createLineWriter({
+    ...NAMES,
+    output: {
+      write: () => undefined,
+      writeFirst: (line) => written.push(line),
+      whenLeftOut: () => undefined,
+      [Symbol.asyncDispose]: () => Promise.resolve(),
+    },
+  });
+  lines.observe({ type: 'observe', name: 'clockJumped', fields: { jumpMs: 1 } });
+  lines.write({ name: 'storeRegained', fields: { topic: 't' } });
+  expect(parseLines(written.join(''))).toMatchObject([{ event: 'storeRegained', host: 'self' }]);
+});
+
+test('callers are served while nobody reads the lines', async () => {
+  await using pipe = await openStalledPipe();
+  const lines = createLineWriter({ ...NAMES, output: createBoundedOutput(pipe.descriptor) });
+  const fault = 'x'.repeat(1_000);
+  await using target = await startRawTarget();
+  await using router = await startTestRouter([target], lines);
+  for (let turn = 0; turn < 20; turn += 1) {
+    for (let index = 0; index < 500; index += 1) {
+      lines.write({ name: 'memoryMalformed', fields: { fault } });
+    }
+    const answer = fetch(`http://${router.callersAddress}/nonIdempotent/x`, {
+      headers: { attempt: 'a1', connection: 'close' },
+    });
+    const { socket } = await target.nextRequest();
+    socket.write('HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok');
+    expect((await answer).status).toBe(200);
+  }
+});
+
+test('the reference of the lines is made from the catalogues as they are', async () => {
+  const file = new URL('../../../docs/LINES.md', import.meta.url);
+  const options = await resolveConfig(file.pathname);
+  const current = await format(renderLinesReference(), { ...options, filepath: 'LINES.md' });
+  expect(readFileSync(file, 'utf8')).toBe(current);
+});
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { ListedTarget, Route, RoutingConfiguration } from '@parsleyhall/routing';
 import { startRouter } from '../../src/index.js';
-import type { CallCodec, RouterInputs, RouterLogger, RunningRouter } from '../../src/index.js';
+import type { CallCodec, RouterInputs, LineWriter, RunningRouter } from '../../src/index.js';
 import type { RawTarget } from './rawTarget.js';
 
 const readOne = (headers: IncomingHttpHeaders, name: string): string | undefined => {
@@ -34,12 +34,7 @@
   },
 };
 
-const noLogger: RouterLogger = {
-  debug: () => true,
-  info: () => true,
-  warn: () => true,
-  error: () => true,
-};
+const noLines: LineWriter = { write: () => undefined, observe: () => undefined };
 
 const newRoute = (kind: Route['kind']): Route => ({
   name: kind,
@@ -78,7 +73,10 @@
 });
 
 /** Starts a router on loopback in front of these targets, with no platform behind it. */
-export const startTestRouter = async (targets: readonly RawTarget[]): Promise<RunningRouter> => {
+export const startTestRouter = async (
+  targets: readonly RawTarget[],
+  lines: LineWriter = noLines,
+): Promise<RunningRouter> => {
   let inputs: RouterInputs | undefined;
   const router = await startRouter({
     settings: {
@@ -97,7 +95,7 @@
       stopWithinMs: 8_000,
     },
     codec,
-    logger: noLogger,
+    lines,
     platform: {
       follow: (given) => {
         inputs = given;
--- /dev/null
+++ b/packages/routing/src/observations/observation.ts
@@ -0,0 +1,14 @@
+import type { LineFields } from './lineFields.js';
+import type { OBSERVATIONS } from './observations.js';
+import type { OBSERVED_FIELDS } from './observedFields.js';
+
+type Catalogue = typeof OBSERVATIONS;
+
+/** A decision to be logged and counted, with just the fields that the catalogue gives it. */
+export type Observation = {
+  readonly [Name in keyof Catalogue]: {
+    readonly type: 'observe';
+    readonly name: Name;
+    readonly fields: LineFields<typeof OBSERVED_FIELDS, Catalogue[Name]>;
+  };
+}[keyof Catalogue];
--- a/packages/routing/src/peers/peer.ts
+++ b/packages/routing/src/peers/peer.ts
@@ -4,4 +4,6 @@
 export interface Peer {
   readonly digest: PeerDigest;
   readonly heardMs: number;
+  /** Its silence has been told. */
+  readonly isLost: boolean;
 }
--- a/packages/routing/src/peers/receiveDigest.ts
+++ b/packages/routing/src/peers/receiveDigest.ts
@@ -2,6 +2,8 @@
 import { learnQuotas } from '../quota/learnQuotas.js';
 import { newQuotaAccount } from '../quota/newQuotaAccount.js';
 import type { RoutingState } from '../routingState.js';
+import { keep } from '../steps/keep.js';
+import type { Outcome } from '../steps/outcome.js';
 import type { Scope } from '../steps/scope.js';
 import type { Peer } from './peer.js';
 import type { PeerDigest } from './peerDigest.js';
@@ -36,22 +38,21 @@
 };
 
 /** Takes over what another entry says of itself and charges what it took of the teams' quotas. */
-export const receiveDigest = (
-  state: RoutingState,
-  digest: PeerDigest,
-  scope: Scope,
-): RoutingState => {
+export const receiveDigest = (state: RoutingState, digest: PeerDigest, scope: Scope): Outcome => {
   const known = state.peers.get(digest.host);
   if (known !== undefined && isOutdated(known.digest, digest)) {
-    return state;
+    return keep(state);
   }
   const learned =
     digest.knowsWindow && digest.tellsRecent
       ? learnQuotas(state, digest.quotaRecent, scope)
       : state;
-  return {
+  const heard = {
     ...learned,
     quotas: chargeQuotas(learned, digest, known, scope),
-    peers: state.peers.set(digest.host, { digest, heardMs: scope.nowMs }),
+    peers: state.peers.set(digest.host, { digest, heardMs: scope.nowMs, isLost: false }),
   };
+  return known?.isLost === false
+    ? keep(heard)
+    : keep(heard, { type: 'observe', name: 'peerHeard', fields: { peer: digest.host } });
 };
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -66,7 +66,7 @@
     case 'targetsListed':
       return listTargets(state, event.targets, scope);
     case 'digestReceived':
-      return keep(receiveDigest(state, event.digest, scope));
+      return receiveDigest(state, event.digest, scope);
     case 'quotasRecalled':
       return keep(recallQuotas(state, event.taken, scope));
     case 'settingsRead':
--- a/packages/routing/src/requests/describeRequest.ts
+++ b/packages/routing/src/requests/describeRequest.ts
@@ -4,7 +4,19 @@
 export const describeRequest = (
   request: TrackedRequest,
   nowMs: number,
-): Readonly<Record<string, string | number | boolean>> => ({
+): {
+  readonly requestId: number;
+  readonly attemptId?: string;
+  readonly route: string;
+  readonly service: string;
+  readonly tier: number;
+  readonly teamPriority?: number;
+  readonly ageMs: number;
+  readonly leftMs: number;
+  readonly sends: number;
+  readonly team?: string;
+  readonly target?: string;
+} => ({
   requestId: request.requestId,
   ...(request.attemptId === undefined ? {} : { attemptId: request.attemptId }),
   route: request.route.name,
--- a/packages/routing/src/requests/refuse.ts
+++ b/packages/routing/src/requests/refuse.ts
@@ -1,3 +1,4 @@
+import { getVersion } from '../configuration/getVersion.js';
 import { returnQuota } from '../quota/returnQuota.js';
 import type { RoutingState } from '../routingState.js';
 import { keep } from '../steps/keep.js';
@@ -14,6 +15,7 @@
   request: TrackedRequest,
   refusal: Refusal,
   nowMs: number,
+  inputs: { readonly waitMs?: number; readonly prefillMs?: number } = {},
 ): Outcome => {
   const { requestId, send, hasBegun } = request;
   const settled = request.mayHaveRun ? state : returnQuota(state, request);
@@ -33,6 +35,9 @@
         reason: refusal.reason,
         status: refusal.status,
         mayHaveRun: request.mayHaveRun,
+        version: getVersion(state),
+        ...(refusal.retryAfterMs === undefined ? {} : { retryAfterMs: refusal.retryAfterMs }),
+        ...inputs,
       },
     },
   );
--- a/packages/routing/src/requests/startSend.ts
+++ b/packages/routing/src/requests/startSend.ts
@@ -1,3 +1,4 @@
+import { getVersion } from '../configuration/getVersion.js';
 import type { RoutingState } from '../routingState.js';
 import { keep } from '../steps/keep.js';
 import type { Outcome } from '../steps/outcome.js';
@@ -51,7 +52,13 @@
     {
       type: 'observe',
       name: 'requestSent',
-      fields: { ...describeRequest(request, nowMs), sendId, address, totalInFlight },
+      fields: {
+        ...describeRequest(request, nowMs),
+        sendId,
+        address,
+        totalInFlight,
+        version: getVersion(state),
+      },
     },
   );
 };
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -1,3 +1,4 @@
+import type { Observation } from './observations/observation.js';
 import type { PeerDigest } from './peers/peerDigest.js';
 import type { RecentQuotas } from './quota/recentQuotas.js';
 import type { Refusal } from './requests/refusal.js';
@@ -26,8 +27,4 @@
   | { readonly type: 'rememberQuotas'; readonly taken: RecentQuotas }
   /** Asks at once whether the configuration is still the newest. */
   | { readonly type: 'confirmConfiguration' }
-  | {
-      readonly type: 'observe';
-      readonly name: string;
-      readonly fields: Readonly<Record<string, string | number | boolean>>;
-    };
+  | Observation;
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -1,58 +1,35 @@
 import type { RoutedTeam } from '../configuration/routedTeam.js';
+import { getVersion } from '../configuration/getVersion.js';
 import { noteInflow } from '../flow/noteInflow.js';
-import { getWaitMs } from '../queue/getWaitMs.js';
+import type { Observation } from '../observations/observation.js';
+import type { Placement } from '../queue/placement.js';
+import { predictPlacement } from '../queue/predictPlacement.js';
 import { rankWaiting } from '../queue/rankWaiting.js';
+import { roundWait } from '../queue/roundWait.js';
 import { takeQuota } from '../quota/takeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
+import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
 import { newRequest } from '../requests/newRequest.js';
 import { putRequest } from '../requests/putRequest.js';
-import type { Refusal } from '../requests/refusal.js';
 import { refuse } from '../requests/refuse.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { noteSend } from '../retries/noteSend.js';
 import type { RoutingState } from '../routingState.js';
 import { getCandidates } from '../targets/getCandidates.js';
 import { getPace } from '../targets/getPace.js';
-import { getPrefillMs } from '../targets/getPrefillMs.js';
 import { admit } from './admit.js';
+import { andThen } from './andThen.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { keep } from './keep.js';
 import type { Outcome } from './outcome.js';
+import { refuseArrival } from './refuseArrival.js';
 import type { Scope } from './scope.js';
 
 /** When to ask again where no target is listed, in milliseconds. */
 const NO_TARGET_RETRY_MS = 1_000;
 
-const refuseArrival = (
-  state: RoutingState,
-  arrival: Arrival,
-  refusal: Refusal,
-  inputs: Readonly<Record<string, string | number | boolean>> = {},
-): Outcome =>
-  keep(
-    state,
-    { type: 'answer', requestId: arrival.requestId, refusal },
-    {
-      type: 'observe',
-      name: 'requestRefused',
-      fields: {
-        requestId: arrival.requestId,
-        ...(arrival.attemptId === undefined ? {} : { attemptId: arrival.attemptId }),
-        callerHost: arrival.host,
-        reason: refusal.reason,
-        status: refusal.status,
-        mayHaveRun: false,
-        version: state.index?.configuration.version ?? 0,
-        ...inputs,
-      },
-    },
-  );
-
-const describeQuota = (
-  team: RoutedTeam | undefined,
-  cost: number,
-): Readonly<Record<string, string | number>> =>
+const describeQuota = (team: RoutedTeam | undefined, cost: number) =>
   team?.quota === undefined
     ? {}
     : {
@@ -62,29 +39,50 @@
         burst: team.quota.burst,
       };
 
-const findOverload = (
+const refuseOverload = (
   state: RoutingState,
   request: TrackedRequest,
-  { nowMs }: Scope,
-): Refusal | undefined => {
-  const candidates = getCandidates(state, request.service, nowMs);
-  if (candidates.length === 0) {
-    return { status: 503, reason: 'noTarget', retryAfterMs: NO_TARGET_RETRY_MS };
-  }
-  const waitMs = getWaitMs(state, request, nowMs);
-  const prefillMs = getPrefillMs(request, getPace(state, request.service));
-  return nowMs + waitMs + prefillMs <= request.patienceAtMs
-    ? undefined
-    : {
-        status: 503,
-        reason: 'overloaded',
-        retryAfterMs: getRetryAfterMs(waitMs),
-      };
+  { waitMs, prefillMs }: Placement,
+  nowMs: number,
+): Outcome => {
+  const retryAfterMs = getRetryAfterMs(waitMs);
+  const inputs = { waitMs: roundWait(waitMs), prefillMs: Math.round(prefillMs) };
+  return refuse(state, request, { status: 503, reason: 'overloaded', retryAfterMs }, nowMs, inputs);
 };
 
-const takeIn = (state: RoutingState, request: TrackedRequest, nowMs: number): RoutingState => {
-  const ranked = rankWaiting(request, getPace(state, request.service), nowMs);
-  return putRequest(noteInflow(state, ranked, nowMs), request);
+const observeWaiting = (
+  state: RoutingState,
+  request: TrackedRequest,
+  { ahead, waitMs }: Placement,
+  nowMs: number,
+): Outcome => {
+  const fields = {
+    ...describeRequest(request, nowMs),
+    ahead,
+    waitMs: roundWait(waitMs),
+    version: getVersion(state),
+  };
+  const line: Observation = { type: 'observe', name: 'requestQueued', fields };
+  const isWaiting = state.waiting.get(request.service)?.has(request.requestId) === true;
+  return isWaiting ? keep(state, line) : keep(state);
+};
+
+/** Lets a request wait and starts it if there is room, or refuses it if it would wait in vain. */
+const queue = (state: RoutingState, request: TrackedRequest, scope: Scope): Outcome => {
+  const { nowMs } = scope;
+  const { service } = request;
+  if (getCandidates(state, service, nowMs).length === 0) {
+    const retryAfterMs = NO_TARGET_RETRY_MS;
+    return refuse(state, request, { status: 503, reason: 'noTarget', retryAfterMs }, nowMs);
+  }
+  const placement = predictPlacement(state, request, nowMs);
+  if (nowMs + placement.waitMs + placement.prefillMs > request.patienceAtMs) {
+    return refuseOverload(state, request, placement, nowMs);
+  }
+  const ranked = rankWaiting(request, getPace(state, service), nowMs);
+  const taken = putRequest(noteInflow(state, ranked, nowMs), request);
+  const dispatched = dispatchWaiting(taken, service, scope);
+  return andThen(dispatched, (current) => observeWaiting(current, request, placement, nowMs));
 };
 
 /** Takes an arriving request in, or answers it at once. */
@@ -92,7 +90,7 @@
   const { nowMs } = scope;
   const admission = admit(state, arrival, scope);
   if (admission.type === 'refused') {
-    return refuseArrival(state, arrival, admission.refusal);
+    return refuseArrival(state, arrival, admission.refusal, scope);
   }
   const { route, service, team } = admission;
   const { promptTokens, maxOutputTokens } = arrival;
@@ -100,27 +98,21 @@
   const counted = noteSend(state, service, 'request', scope);
   const taken = takeQuota(counted, team, tokens, scope);
   if (taken.waitMs > 0) {
-    const retryAfterMs = Math.ceil(taken.waitMs);
-    return refuseArrival(
-      taken.state,
-      arrival,
-      { status: 429, reason: 'quotaExceeded', retryAfterMs },
-      describeQuota(team, taken.cost),
-    );
+    const refusal = {
+      status: 429,
+      reason: 'quotaExceeded',
+      retryAfterMs: Math.ceil(taken.waitMs),
+    } as const;
+    return refuseArrival(taken.state, arrival, refusal, scope, describeQuota(team, taken.cost));
   }
-  const { cost: quotaCost, isBeyond: isBeyondQuota } = taken;
   const request = newRequest({
     arrival,
     route,
     service,
     team,
-    quotaCost,
-    isBeyondQuota,
+    quotaCost: taken.cost,
+    isBeyondQuota: taken.isBeyond,
     nowMs,
   });
-  const overload = findOverload(taken.state, request, scope);
-  if (overload !== undefined) {
-    return refuse(taken.state, request, overload, nowMs);
-  }
-  return dispatchWaiting(takeIn(taken.state, request, nowMs), service, scope);
+  return queue(taken.state, request, scope);
 };
--- a/packages/routing/src/steps/beginAnswer.ts
+++ b/packages/routing/src/steps/beginAnswer.ts
@@ -3,13 +3,12 @@
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { mayRunAgain } from '../retries/mayRunAgain.js';
 import type { RoutingState } from '../routingState.js';
-import { noteFailure } from '../targets/noteFailure.js';
-import { updateTarget } from '../targets/updateTarget.js';
 import { andThen } from './andThen.js';
 import { failSend } from './failSend.js';
 import { keep } from './keep.js';
 import type { Outcome } from './outcome.js';
 import type { Scope } from './scope.js';
+import { restTarget } from './restTarget.js';
 import { sendAgain } from './sendAgain.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -22,11 +21,6 @@
   scope: Scope,
 ): boolean => head.status >= FIRST_SERVER_ERROR && mayRunAgain(state, request, scope);
 
-const rest = (state: RoutingState, request: TrackedRequest, { nowMs }: Scope): RoutingState =>
-  request.send === undefined
-    ? state
-    : updateTarget(state, request.send.targetId, (target) => noteFailure(target, nowMs));
-
 /** Judges the head of an answer: hands it on, or sends the request elsewhere. */
 export const beginAnswer = (
   state: RoutingState,
@@ -40,7 +34,9 @@
   }
   const cancel = { type: 'cancelSend', requestId, sendId: send.sendId } as const;
   if (head.isNotRun) {
-    const rested = keep(rest(state, request, scope), cancel);
+    const rested = andThen(restTarget(state, send.targetId, scope.nowMs), (current) =>
+      keep(current, cancel),
+    );
     return andThen(rested, (current) => sendAgain(current, request, 'notRun', scope));
   }
   if (head.isForeign || (!head.isSealed && head.status < FIRST_ERROR)) {
--- a/packages/routing/src/steps/checkRequest.ts
+++ b/packages/routing/src/steps/checkRequest.ts
@@ -1,4 +1,4 @@
-import { getWaitMs } from '../queue/getWaitMs.js';
+import { predictPlacement } from '../queue/predictPlacement.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
 import type { Refusal } from '../requests/refusal.js';
 import { refuse } from '../requests/refuse.js';
@@ -21,7 +21,11 @@
 ): Refusal =>
   request.mayHaveRun
     ? { status: 504, reason: 'timedOut' }
-    : { status: 503, reason, retryAfterMs: getRetryAfterMs(getWaitMs(state, request, nowMs)) };
+    : {
+        status: 503,
+        reason,
+        retryAfterMs: getRetryAfterMs(predictPlacement(state, request, nowMs).waitMs),
+      };
 
 const isHopeless = (state: RoutingState, request: TrackedRequest, nowMs: number): boolean => {
   const pace = getPace(state, request.service);
--- a/packages/routing/src/steps/listTargets.ts
+++ b/packages/routing/src/steps/listTargets.ts
@@ -1,12 +1,38 @@
 import { Map } from 'immutable';
+import type { Observation } from '../observations/observation.js';
 import type { RoutingState } from '../routingState.js';
 import type { ListedTarget } from '../targets/listedTarget.js';
 import { newTarget } from '../targets/newTarget.js';
+import type { Target } from '../targets/target.js';
+import { andThen } from './andThen.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { forEach } from './forEach.js';
+import { keep } from './keep.js';
 import type { Outcome } from './outcome.js';
 import type { Scope } from './scope.js';
 
+const isSame = (left: ListedTarget, right: ListedTarget | undefined): boolean =>
+  left.service === right?.service &&
+  left.address === right.address &&
+  left.isLeaving === right.isLeaving;
+
+const describeChanges = (
+  before: Map<string, Target>,
+  after: Map<string, Target>,
+): readonly Observation[] => [
+  ...[...after.values()]
+    .filter(({ listed }) => !isSame(listed, before.get(listed.id)?.listed))
+    .map(({ listed: { id: target, service, address, isLeaving } }): Observation => {
+      const fields = { target, service, address, isLeaving };
+      return { type: 'observe', name: 'targetListed', fields };
+    }),
+  ...[...before.values()]
+    .filter(({ listed }) => !after.has(listed.id))
+    .map(({ listed: { id: target, service, address } }): Observation => {
+      return { type: 'observe', name: 'targetGone', fields: { target, service, address } };
+    }),
+];
+
 /** Takes over the list of targets; what was learned of those that stay is kept. */
 export const listTargets = (
   state: RoutingState,
@@ -20,7 +46,10 @@
       return [listed.id, target] as const;
     }),
   );
-  return forEach({ ...state, targets: next }, state.waiting.keys(), (current, service) =>
-    dispatchWaiting(current, service, scope),
+  const told = keep({ ...state, targets: next }, ...describeChanges(state.targets, next));
+  return andThen(told, (listed) =>
+    forEach(listed, listed.waiting.keys(), (current, service) =>
+      dispatchWaiting(current, service, scope),
+    ),
   );
 };
--- a/packages/routing/src/steps/refuseHopeless.ts
+++ b/packages/routing/src/steps/refuseHopeless.ts
@@ -1,4 +1,5 @@
 import { findHopeless } from '../queue/findHopeless.js';
+import { roundWait } from '../queue/roundWait.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
 import { refuse } from '../requests/refuse.js';
 import type { Refusal } from '../requests/refusal.js';
@@ -15,6 +16,6 @@
       const refusal: Refusal = request.mayHaveRun
         ? { status: 504, reason: 'timedOut' }
         : { status: 503, reason: 'overloaded', retryAfterMs: getRetryAfterMs(waitMs) };
-      return refuse(next, request, refusal, nowMs);
+      return refuse(next, request, refusal, nowMs, { waitMs: roundWait(waitMs) });
     });
   });
--- a/packages/routing/src/steps/sendAgain.ts
+++ b/packages/routing/src/steps/sendAgain.ts
@@ -1,4 +1,4 @@
-import { getWaitMs } from '../queue/getWaitMs.js';
+import { predictPlacement } from '../queue/predictPlacement.js';
 import { closeSend } from '../requests/closeSend.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
@@ -47,7 +47,7 @@
     : {
         status: 503,
         reason: 'refusedByTargets',
-        retryAfterMs: getRetryAfterMs(getWaitMs(state, request, nowMs)),
+        retryAfterMs: getRetryAfterMs(predictPlacement(state, request, nowMs).waitMs),
       };
 
 const afterSend = (request: TrackedRequest, result: SendResult): TrackedRequest => {
--- a/packages/routing/src/steps/tick.ts
+++ b/packages/routing/src/steps/tick.ts
@@ -1,3 +1,4 @@
+import { noteLostPeers } from '../peers/noteLostPeers.js';
 import { newDigest } from '../peers/newDigest.js';
 import { rememberQuotas } from '../quota/rememberQuotas.js';
 import type { RoutingState } from '../routingState.js';
@@ -14,7 +15,8 @@
 /** Looks after every request and tells the other entries how things stand. */
 export const tick = (state: RoutingState, scope: Scope): Outcome => {
   const timed = checkClocks(state, scope);
-  const checked = andThen(timed, (current) =>
+  const listened = andThen(timed, (current) => noteLostPeers(current, scope.nowMs));
+  const checked = andThen(listened, (current) =>
     forEach(current, current.requests.keys(), (next, requestId) => {
       const request = next.requests.get(requestId);
       return request === undefined ? keep(next) : checkRequest(next, request, scope);
--- /dev/null
+++ b/scripts/writeLinesReference.mjs
@@ -0,0 +1,8 @@
+import { writeFileSync } from 'node:fs';
+import { renderLinesReference } from '@parsleyhall/router';
+import { format, resolveConfig } from 'prettier';
+
+const FILE = 'docs/LINES.md';
+
+const options = await resolveConfig(FILE);
+writeFileSync(FILE, await format(renderLinesReference(), { ...options, filepath: FILE }));
