parsleyhall explain: from a request's id to its cause

Purpose: on-call engineers have only lines of several hosts whose clocks differ. Ids: the caller's attempt id, the request id of the older path, or HOST/NUMBER of an entry. An unknown id, a missing file and unreadable lines are told as such.

--- a/packages/operator/src/commandLine/createOperatorWorld.ts
+++ b/packages/operator/src/commandLine/createOperatorWorld.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { readFile, writeFile } from 'node:fs/promises';
+import { text } from 'node:stream/consumers';
 import { setTimeout as delay } from 'node:timers/promises';
 import { type Either, Left, Right } from 'purify-ts';
 import { Agent } from 'undici';
@@ -49,16 +50,20 @@
       readFile(file, 'utf8').then(Right, (error: unknown) =>
         Left({ type: 'fileUnreadable', file, detail: getDetail(error) }),
       ),
-    writeFile: (file, text) =>
-      writeFile(file, text).then(
+    readInput: () =>
+      text(process.stdin).then(Right, (error: unknown) =>
+        Left({ type: 'fileUnreadable', file: 'standard input', detail: getDetail(error) }),
+      ),
+    writeFile: (file, written) =>
+      writeFile(file, written).then(
         () => Right(undefined),
         (error: unknown) => Left({ type: 'fileUnwritable', file, detail: getDetail(error) }),
       ),
-    print: (text) => {
-      process.stdout.write(`${text}\n`);
+    print: (line) => {
+      process.stdout.write(`${line}\n`);
     },
-    printError: (text) => {
-      process.stderr.write(`${text}\n`);
+    printError: (line) => {
+      process.stderr.write(`${line}\n`);
     },
     newPublicationId: randomUUID,
     getNowMs: Date.now,
--- a/packages/operator/src/commandLine/operatorWorld.ts
+++ b/packages/operator/src/commandLine/operatorWorld.ts
@@ -14,6 +14,8 @@
   /** Asks a process's operators' listener for its status. */
   readonly getStatus: (address: string) => Promise<Either<PlatformFailure, ProcessStatus>>;
   readonly readFile: (file: string) => Promise<Either<OperatorFailure, string>>;
+  /** All of standard input. */
+  readonly readInput: () => Promise<Either<OperatorFailure, string>>;
   readonly writeFile: (file: string, text: string) => Promise<Either<OperatorFailure, undefined>>;
   readonly print: (text: string) => void;
   readonly printError: (text: string) => void;
--- a/packages/operator/src/commandLine/parseCommandLine.ts
+++ b/packages/operator/src/commandLine/parseCommandLine.ts
@@ -3,6 +3,7 @@
 import { diffConfiguration } from '../configuration/diffConfiguration.js';
 import { publishConfiguration } from '../configuration/publishConfiguration.js';
 import { showConfiguration } from '../configuration/showConfiguration.js';
+import { explainRequest } from '../explain/explainRequest.js';
 import { changeHost } from '../host/changeHost.js';
 import { settleKey } from '../key/settleKey.js';
 import { showKey } from '../key/showKey.js';
@@ -33,6 +34,17 @@
       return { type: 'files', options, run: (world) => checkSettingsFile(world, file, options.as) };
     });
 
+const addExplainCommand = (program: sade.Sade): sade.Sade =>
+  program
+    .command('explain <id>')
+    .describe(
+      'Explain a request from log lines. Reads the files named after the id, or standard input.',
+    )
+    .example('explain 9c41d07be2a35f68 front-1.log front-2.log')
+    .action((id: string, options: CommandOptions): Command => {
+      return { type: 'files', options, run: (world) => explainRequest(world, id, options._) };
+    });
+
 const addConfigurationCommands = (program: sade.Sade): sade.Sade =>
   program
     .command('configuration publish <file>')
@@ -171,6 +183,7 @@
     .option('--settings', "File of the operator's settings")
     .option('--json', 'Print JSON for a program to read');
   addFileCommands(program);
+  addExplainCommand(program);
   addConfigurationCommands(program);
   addPresetCommands(program);
   addHostCommands(program);
--- /dev/null
+++ b/packages/operator/src/explain/explanation.ts
@@ -0,0 +1,5 @@
+/** What became of a request, and why. */
+export interface Explanation {
+  readonly outcome: string;
+  readonly cause: string;
+}
--- a/packages/operator/src/failure/formatFailure.ts
+++ b/packages/operator/src/failure/formatFailure.ts
@@ -87,6 +87,8 @@
       return `Key ${failure.key} is ${failure.condition}: there is nothing to settle.`;
     case 'noReport':
       return `There is nothing to report on: ${failure.detail}.`;
+    case 'requestUnknown':
+      return `None of ${failure.lines} lines is about ${failure.id}; ${failure.unreadable} more could not be read. Give the caller's attempt id, the request id, or HOST/NUMBER of an entry, and the lines of every entry.`;
     default:
       return assertNever(failure);
   }
--- a/packages/operator/src/failure/operatorFailure.ts
+++ b/packages/operator/src/failure/operatorFailure.ts
@@ -33,4 +33,11 @@
   | { readonly type: 'keyRunning'; readonly key: string }
   /** The key has no run whose outcome is open. */
   | { readonly type: 'keySettled'; readonly key: string; readonly condition: string }
-  | { readonly type: 'noReport'; readonly detail: string };
+  | { readonly type: 'noReport'; readonly detail: string }
+  /** No line that was read is about the request. */
+  | {
+      readonly type: 'requestUnknown';
+      readonly id: string;
+      readonly lines: number;
+      readonly unreadable: number;
+    };
--- a/packages/operator/tests/createTestOperator.ts
+++ b/packages/operator/tests/createTestOperator.ts
@@ -23,6 +23,8 @@
   log,
   name,
   files = {},
+  logs = {},
+  input = '',
   hosts = [],
   statuses = {},
   nowMs = 0,
@@ -30,6 +32,10 @@
   readonly log: LogClient;
   readonly name: string;
   readonly files?: Readonly<Record<string, unknown>>;
+  /** Files of plain text. */
+  readonly logs?: Readonly<Record<string, string>>;
+  /** What standard input holds. */
+  readonly input?: string;
   readonly hosts?: HostList['hosts'];
   readonly statuses?: Readonly<Record<string, ProcessStatus>>;
   readonly nowMs?: number;
@@ -54,12 +60,15 @@
         status === undefined ? Left({ type: 'unavailable', detail: 'silent' }) : Right(status),
       );
     },
-    readFile: (file) =>
-      Promise.resolve(
-        file in allFiles
-          ? Right(JSON.stringify(allFiles[file]))
-          : Left({ type: 'fileUnreadable', file, detail: 'missing' }),
-      ),
+    readFile: (file) => {
+      const text = file in allFiles ? JSON.stringify(allFiles[file]) : logs[file];
+      return Promise.resolve(
+        text === undefined
+          ? Left({ type: 'fileUnreadable', file, detail: 'missing' })
+          : Right(text),
+      );
+    },
+    readInput: () => Promise.resolve(Right(input)),
     writeFile: (file, text) => {
       written.set(file, text);
       return Promise.resolve(Right(undefined));
