Lines: what a predicted wait came from, a target's status, pieces a pipe takes whole

Change: batches are written in pieces of whole lines of 4,096 bytes at most, which a pipe takes at once; requestAnswered has targetStatus; requestQueued and requestRefused have heldSlots and urgentSlots, and requests beyond their team's quota say so.

--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -16,7 +16,7 @@
     case 0:
       return 'no other send to it failed at about that time';
     case 1:
-      return `${alike.length} other sends to it failed at about that time, all on ${[...hosts].join()}: the path may be at fault`;
+      return `${alike.length} other sends to it failed at about that time, all on ${[...hosts].join()}: the target or the path from there is at fault`;
     default:
       return `${alike.length} other sends to it failed at about that time, on ${hosts.size} hosts: the target is at fault`;
   }
--- a/packages/operator/src/explain/describeRefusal.ts
+++ b/packages/operator/src/explain/describeRefusal.ts
@@ -14,6 +14,9 @@
   return [
     `the targets of ${getText(line, 'service')} were full and it would have waited in vain`,
     ...(isPredicted ? [wait] : []),
+    ...(line.isBeyondQuota === true
+      ? ['its team was beyond its quota, so that it went behind the rest']
+      : []),
     `it was held ${getNumber(line, 'ageMs')} ms`,
     `its caller would have stayed ${getNumber(line, 'leftMs')} ms at most`,
   ].join('; ');
--- a/packages/operator/src/explain/explainEvidence.ts
+++ b/packages/operator/src/explain/explainEvidence.ts
@@ -7,6 +7,9 @@
 import { getText } from './getText.js';
 import type { Line } from './line.js';
 
+/** A caller that leaves so shortly before its deadline has waited for all of it. */
+const DEADLINE_NEAR_MS = 100;
+
 const describeRun = (line: Line): string =>
   line.mayHaveRun === true ? 'it may have run' : 'it has not run and will not';
 
@@ -21,9 +24,13 @@
     last.target === undefined
       ? 'it was still waiting for a slot'
       : `target ${getText(last, 'target')} was at work on it`;
+  const isUp = getNumber(last, 'leftMs') < DEADLINE_NEAR_MS;
   return {
     outcome: `the caller left after ${ageMs} ms`,
-    cause: withFailedSend(evidence, `the caller hung up while ${where}`),
+    cause: withFailedSend(
+      evidence,
+      `${isUp ? 'its time was up' : 'the caller hung up'} while ${where}`,
+    ),
   };
 };
 
@@ -47,7 +54,7 @@
   switch (last.event) {
     case 'requestAnswered':
       return {
-        outcome: `answered by target ${getText(last, 'target')}`,
+        outcome: `target ${getText(last, 'target')} answered ${getText(last, 'targetStatus')}`,
         cause: withFailedSend(evidence, describeAnswer(last)),
       };
     case 'requestRefused':
--- a/packages/router/src/lines/createBoundedOutput.ts
+++ b/packages/router/src/lines/createBoundedOutput.ts
@@ -10,6 +10,8 @@
 const SECOND_MS = 1_000;
 const FLUSH_PERIOD_MS = 50;
 const RETRY_MS = 20;
+/** A pipe takes so many bytes in one piece, so that lines of other writers do not end up within one. */
+const MAX_WRITE_BYTES = 4_096;
 /** How long an end waits for a reader. */
 const END_WAIT_MS = 200;
 
@@ -45,22 +47,41 @@
         return;
       }
       isWriting = false;
-      if (pending.length > 0) {
-        schedule(FLUSH_PERIOD_MS);
-        return;
-      }
-      whenEmpty?.();
+      writeNext();
     });
   };
 
+  const writeNext = (): void => {
+    if (pending.length === 0) {
+      whenEmpty?.();
+    } else if (pendingBytes >= MAX_WRITE_BYTES || whenEmpty !== undefined) {
+      flush();
+    } else {
+      schedule(FLUSH_PERIOD_MS);
+    }
+  };
+
+  const takeBatch = (): readonly string[] => {
+    const batch: string[] = [];
+    let bytes = 0;
+    for (const line of pending) {
+      if (batch.length > 0 && bytes + line.length > MAX_WRITE_BYTES) {
+        break;
+      }
+      batch.push(line);
+      bytes += line.length;
+    }
+    pending = pending.slice(batch.length);
+    pendingBytes -= bytes;
+    return batch;
+  };
+
   function flush(): void {
     timer = undefined;
     if (isWriting || pending.length === 0) {
       return;
     }
-    const bytes = Buffer.from(pending.join(''));
-    pending = [];
-    pendingBytes = 0;
+    const bytes = Buffer.from(takeBatch().join(''));
     isWriting = true;
     writeAll(bytes, 0);
   }
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -1,12 +1,13 @@
 const REQUEST = ['requestId', 'route', 'service', 'tier', 'ageMs', 'leftMs', 'sends'] as const;
-const REQUEST_TOO = ['attemptId', 'team', 'teamPriority', 'target'] as const;
+const REQUEST_TOO = ['attemptId', 'team', 'teamPriority', 'isBeyondQuota', 'target'] as const;
+const WAIT = ['waitMs', 'heldSlots', 'urgentSlots'] as const;
 const ENDING = ['reason', 'status', 'mayHaveRun'] as const;
 
 /** Every decision that the scheduler tells of: what it means, its fields, and those that it has only at times. */
 export const OBSERVATIONS = {
   requestQueued: {
     text: 'a request waits, since no target has room for it',
-    fields: [...REQUEST, 'ahead', 'waitMs', 'version'],
+    fields: [...REQUEST, 'ahead', ...WAIT, 'version'],
     optional: REQUEST_TOO,
   },
   requestSent: {
@@ -26,7 +27,7 @@
   },
   requestAnswered: {
     text: "a target's answer was handed on whole",
-    fields: [...REQUEST, 'events', 'waitedMs', 'firstMs'],
+    fields: [...REQUEST, 'targetStatus', 'events', 'waitedMs', 'firstMs'],
     optional: REQUEST_TOO,
   },
   requestRefused: {
@@ -41,7 +42,7 @@
       'leftMs',
       'sends',
       'retryAfterMs',
-      'waitMs',
+      ...WAIT,
       'prefillMs',
       'callerHost',
       'configurationAgeMs',
--- a/packages/routing/src/queue/findHopeless.ts
+++ b/packages/routing/src/queue/findHopeless.ts
@@ -3,7 +3,8 @@
 import { getNominalMs } from '../targets/getNominalMs.js';
 import { getPace } from '../targets/getPace.js';
 import { getPrefillMs } from '../targets/getPrefillMs.js';
-import { predictWaitMs } from './predictWaitMs.js';
+import { predictWait } from './predictWait.js';
+import type { Wait } from './wait.js';
 import { rankWaiting } from './rankWaiting.js';
 import { sortWaiting } from './sortWaiting.js';
 
@@ -12,20 +13,20 @@
   state: RoutingState,
   service: string,
   nowMs: number,
-): readonly { readonly request: TrackedRequest; readonly waitMs: number }[] => {
+): readonly { readonly request: TrackedRequest; readonly wait: Wait }[] => {
   const queue = state.waiting.get(service);
   if (queue === undefined || queue.isEmpty()) {
     return [];
   }
   const pace = getPace(state, service);
-  const predict = predictWaitMs(state, service, nowMs);
+  const predict = predictWait(state, service, nowMs);
   let workMs = 0;
   return sortWaiting(queue.values(), pace, nowMs).flatMap((request, count) => {
     const own = rankWaiting(request, pace, nowMs);
-    const waitMs = predict(own, { count, workMs });
+    const wait = predict(own, { count, workMs });
     workMs += getNominalMs(request, pace);
-    const beginsMs = nowMs + waitMs + getPrefillMs(request, pace);
+    const beginsMs = nowMs + wait.waitMs + getPrefillMs(request, pace);
     const isHopeless = !request.hasBegun && own.isLate && beginsMs > request.patienceAtMs;
-    return isHopeless ? [{ request, waitMs }] : [];
+    return isHopeless ? [{ request, wait }] : [];
   });
 };
--- a/packages/routing/src/queue/placement.ts
+++ b/packages/routing/src/queue/placement.ts
@@ -1,9 +1,9 @@
-/** What is predicted of a request that would wait now, in milliseconds. */
-export interface Placement {
+import type { Wait } from './wait.js';
+
+/** What is predicted of a request that would wait now. */
+export interface Placement extends Wait {
   /** Waiting requests that are started before it. */
   readonly ahead: number;
-  /** Infinite where more urgent work takes all. */
-  readonly waitMs: number;
-  /** From its start to its first event. */
+  /** From its start to its first event, in milliseconds. */
   readonly prefillMs: number;
 }
--- a/packages/routing/src/queue/predictPlacement.ts
+++ b/packages/routing/src/queue/predictPlacement.ts
@@ -4,7 +4,7 @@
 import { getPrefillMs } from '../targets/getPrefillMs.js';
 import { getAhead } from './getAhead.js';
 import type { Placement } from './placement.js';
-import { predictWaitMs } from './predictWaitMs.js';
+import { predictWait } from './predictWait.js';
 import { rankWaiting } from './rankWaiting.js';
 
 /** Predicts what a request that waits, or would wait, has before it. */
@@ -19,7 +19,7 @@
   const ahead = getAhead(state, own, nowMs);
   return {
     ahead: ahead.count,
-    waitMs: predictWaitMs(state, service, nowMs)(own, ahead),
+    ...predictWait(state, service, nowMs)(own, ahead),
     prefillMs: getPrefillMs(request, pace),
   };
 };
--- a/packages/routing/src/queue/predictWaitMs.ts
+++ b/packages/routing/src/queue/predictWait.ts
@@ -4,6 +4,7 @@
 import { getCandidates } from '../targets/getCandidates.js';
 import { getPace } from '../targets/getPace.js';
 import type { Ranked } from './ranked.js';
+import type { Wait } from './wait.js';
 
 /** The part of its equal share of the slots that an entry comes to again, however few it holds now. */
 const LEAST_SHARE = 0.5;
@@ -14,11 +15,11 @@
  * How long until a request with this work ahead of it is started, in milliseconds: the work takes the slots that this
  * entry holds, less those that more urgent work will take meanwhile. Infinite where nothing is left.
  */
-export const predictWaitMs = (
+export const predictWait = (
   state: RoutingState,
   service: string,
   nowMs: number,
-): ((own: Ranked, ahead: { readonly count: number; readonly workMs: number }) => number) => {
+): ((own: Ranked, ahead: { readonly count: number; readonly workMs: number }) => Wait) => {
   const listed = getCandidates(state, service, nowMs).map(({ target, totalInFlight }) => ({
     slots: target.listed.slots,
     free: Math.max(0, target.listed.slots - totalInFlight),
@@ -31,10 +32,12 @@
   const inflows = state.inflows.get(service) ?? [];
   const { runMs } = getPace(state, service);
   return (own, { count, workMs }) => {
+    const urgentSlots = getUrgentSlots(inflows, own, nowMs);
+    const from = { heldSlots: slots, urgentSlots };
     if (count < free) {
-      return 0;
+      return { waitMs: 0, ...from };
     }
-    const left = slots - getUrgentSlots(inflows, own, nowMs);
-    return left < LEAST_SLOTS ? Infinity : (workMs + runMs) / left;
+    const left = slots - urgentSlots;
+    return { waitMs: left < LEAST_SLOTS ? Infinity : (workMs + runMs) / left, ...from };
   };
 };
--- a/packages/routing/src/requests/describeRequest.ts
+++ b/packages/routing/src/requests/describeRequest.ts
@@ -15,6 +15,7 @@
   readonly leftMs: number;
   readonly sends: number;
   readonly team?: string;
+  readonly isBeyondQuota?: true;
   readonly target?: string;
 } => ({
   requestId: request.requestId,
@@ -27,5 +28,6 @@
   leftMs: Math.round(request.deadlineAtMs - nowMs),
   sends: request.sends,
   ...(request.team === undefined ? {} : { team: request.team }),
+  ...(request.isBeyondQuota ? { isBeyondQuota: true } : {}),
   ...(request.send === undefined ? {} : { target: request.send.targetId }),
 });
--- a/packages/routing/src/requests/refuse.ts
+++ b/packages/routing/src/requests/refuse.ts
@@ -1,4 +1,5 @@
 import { getVersion } from '../configuration/getVersion.js';
+import type { Observation } from '../observations/observation.js';
 import { returnQuota } from '../quota/returnQuota.js';
 import type { RoutingState } from '../routingState.js';
 import { keep } from '../steps/keep.js';
@@ -9,13 +10,15 @@
 import { removeRequest } from './removeRequest.js';
 import type { TrackedRequest } from './trackedRequest.js';
 
+type Fields = Extract<Observation, { name: 'requestRefused' }>['fields'];
+
 /** Gives a request its final answer, or cuts the answer that has begun. */
 export const refuse = (
   state: RoutingState,
   request: TrackedRequest,
   refusal: Refusal,
   nowMs: number,
-  inputs: { readonly waitMs?: number; readonly prefillMs?: number } = {},
+  inputs: Partial<Fields> = {},
 ): Outcome => {
   const { requestId, send, hasBegun } = request;
   const settled = request.mayHaveRun ? state : returnQuota(state, request);
--- a/packages/routing/src/requests/send.ts
+++ b/packages/routing/src/requests/send.ts
@@ -6,6 +6,8 @@
   /** When the answer's latest bytes came, in milliseconds of the steady clock; undefined before the first. */
   readonly beganMs?: number;
   readonly latestMs: number;
+  /** Status of the target's answer, once its head has come. */
+  readonly status?: number;
   /** Whether an earlier send of the request may have run. */
   readonly mayHaveRunBefore: boolean;
 }
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -2,10 +2,10 @@
 import { getVersion } from '../configuration/getVersion.js';
 import { noteInflow } from '../flow/noteInflow.js';
 import type { Observation } from '../observations/observation.js';
+import { describeWait } from '../queue/describeWait.js';
 import type { Placement } from '../queue/placement.js';
 import { predictPlacement } from '../queue/predictPlacement.js';
 import { rankWaiting } from '../queue/rankWaiting.js';
-import { roundWait } from '../queue/roundWait.js';
 import { takeQuota } from '../quota/takeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
 import { describeRequest } from '../requests/describeRequest.js';
@@ -42,24 +42,24 @@
 const refuseOverload = (
   state: RoutingState,
   request: TrackedRequest,
-  { waitMs, prefillMs }: Placement,
+  placement: Placement,
   nowMs: number,
 ): Outcome => {
-  const retryAfterMs = getRetryAfterMs(waitMs);
-  const inputs = { waitMs: roundWait(waitMs), prefillMs: Math.round(prefillMs) };
+  const retryAfterMs = getRetryAfterMs(placement.waitMs);
+  const inputs = { ...describeWait(placement), prefillMs: Math.round(placement.prefillMs) };
   return refuse(state, request, { status: 503, reason: 'overloaded', retryAfterMs }, nowMs, inputs);
 };
 
 const observeWaiting = (
   state: RoutingState,
   request: TrackedRequest,
-  { ahead, waitMs }: Placement,
+  placement: Placement,
   nowMs: number,
 ): Outcome => {
   const fields = {
     ...describeRequest(request, nowMs),
-    ahead,
-    waitMs: roundWait(waitMs),
+    ahead: placement.ahead,
+    ...describeWait(placement),
     version: getVersion(state),
   };
   const line: Observation = { type: 'observe', name: 'requestQueued', fields };
--- a/packages/routing/src/steps/beginAnswer.ts
+++ b/packages/routing/src/steps/beginAnswer.ts
@@ -48,6 +48,9 @@
   if (!head.isSealed || isWorthRepeating(state, request, head, scope)) {
     return failSend(state, request, 'broken', scope);
   }
-  const began: TrackedRequest = { ...request, send: { ...send, latestMs: scope.nowMs } };
+  const began: TrackedRequest = {
+    ...request,
+    send: { ...send, latestMs: scope.nowMs, status: head.status },
+  };
   return keep(putRequest(state, began));
 };
--- a/packages/routing/src/steps/endAnswer.ts
+++ b/packages/routing/src/steps/endAnswer.ts
@@ -42,6 +42,7 @@
       name: 'requestAnswered',
       fields: {
         ...describeRequest(request, nowMs),
+        targetStatus: send.status ?? 0,
         events,
         waitedMs: Math.round(send.sentMs - request.arrivedMs),
         firstMs: Math.round((send.beganMs ?? nowMs) - request.arrivedMs),
--- a/packages/routing/src/steps/refuseHopeless.ts
+++ b/packages/routing/src/steps/refuseHopeless.ts
@@ -1,5 +1,5 @@
 import { findHopeless } from '../queue/findHopeless.js';
-import { roundWait } from '../queue/roundWait.js';
+import { describeWait } from '../queue/describeWait.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
 import { refuse } from '../requests/refuse.js';
 import type { Refusal } from '../requests/refusal.js';
@@ -12,10 +12,10 @@
 export const refuseHopeless = (state: RoutingState, { nowMs }: Scope): Outcome =>
   forEach(state, state.waiting.keys(), (current, service) => {
     const hopeless = findHopeless(current, service, nowMs);
-    return forEach(current, hopeless, (next, { request, waitMs }) => {
+    return forEach(current, hopeless, (next, { request, wait }) => {
       const refusal: Refusal = request.mayHaveRun
         ? { status: 504, reason: 'timedOut' }
-        : { status: 503, reason: 'overloaded', retryAfterMs: getRetryAfterMs(waitMs) };
-      return refuse(next, request, refusal, nowMs, { waitMs: roundWait(waitMs) });
+        : { status: 503, reason: 'overloaded', retryAfterMs: getRetryAfterMs(wait.waitMs) };
+      return refuse(next, request, refusal, nowMs, describeWait(wait));
     });
   });
