The longest pause of an answer, in its line and as a histogram

Cause: late streams could not be told apart: by a late first event, by a pause, or by having come back after a refusal. Change: requestAnswered has longestGapMs; request_longest_gap_ms is a histogram. A test for both pauses and the first event.

--- a/packages/router/src/process/recordDecision.ts
+++ b/packages/router/src/process/recordDecision.ts
@@ -5,7 +5,7 @@
 /** Fields with few values; teams and requests have too many for labels. */
 const LABELS = ['service', 'tier', 'reason', 'status', 'failure', 'result'] as const;
 /** Durations of an answered request, in milliseconds. */
-const DURATIONS = ['waitedMs', 'firstMs', 'ageMs'] as const;
+const DURATIONS = ['waitedMs', 'firstMs', 'longestGapMs', 'ageMs'] as const;
 
 const getLabels = (fields: Observation['fields']): MetricLabels => {
   const given = new Map(Object.entries(fields));
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -27,7 +27,7 @@
   },
   requestAnswered: {
     text: "a target's answer was handed on whole",
-    fields: [...REQUEST, 'targetStatus', 'events', 'waitedMs', 'firstMs'],
+    fields: [...REQUEST, 'targetStatus', 'events', 'waitedMs', 'firstMs', 'longestGapMs'],
     optional: REQUEST_TOO,
   },
   requestRefused: {
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -27,6 +27,10 @@
   isLeaving: { type: 'boolean', text: 'the target takes no new work' },
   jumpMs: { type: 'number', text: 'milliseconds by which the clocks drifted apart' },
   leftMs: { type: 'number', text: 'milliseconds until the deadline' },
+  longestGapMs: {
+    type: 'number',
+    text: 'longest pause between two pieces of the answer, in milliseconds',
+  },
   mayHaveRun: { type: 'boolean', text: 'a target may have begun to work on the request' },
   peer: { type: 'string', text: 'host of the other entry' },
   perSecond: { type: 'number', text: "the team's quota a second, in its unit" },
--- a/packages/routing/src/requests/send.ts
+++ b/packages/routing/src/requests/send.ts
@@ -8,6 +8,8 @@
   readonly latestMs: number;
   /** Status of the target's answer, once its head has come. */
   readonly status?: number;
+  /** The longest pause since the first bytes, in milliseconds; undefined until there is one. */
+  readonly longestGapMs?: number;
   /** Whether an earlier send of the request may have run. */
   readonly mayHaveRunBefore: boolean;
 }
--- a/packages/routing/src/steps/continueAnswer.ts
+++ b/packages/routing/src/steps/continueAnswer.ts
@@ -20,7 +20,12 @@
   const next = putRequest(state, {
     ...request,
     hasBegun: true,
-    send: { ...send, beganMs: send.beganMs ?? nowMs, latestMs: nowMs },
+    send: {
+      ...send,
+      beganMs: send.beganMs ?? nowMs,
+      latestMs: nowMs,
+      ...(isFirst ? {} : { longestGapMs: Math.max(send.longestGapMs ?? 0, nowMs - send.latestMs) }),
+    },
   });
   return keep(
     isFirst
--- a/packages/routing/src/steps/endAnswer.ts
+++ b/packages/routing/src/steps/endAnswer.ts
@@ -45,6 +45,7 @@
         targetStatus: send.status ?? 0,
         events,
         waitedMs: Math.round(send.sentMs - request.arrivedMs),
+        longestGapMs: Math.round(send.longestGapMs ?? 0),
         firstMs: Math.round((send.beganMs ?? nowMs) - request.arrivedMs),
       },
     },
--- a/packages/routing/tests/observations.test.ts
+++ b/packages/routing/tests/observations.test.ts
@@ -3,6 +3,7 @@
 import type { Observation, RoutingEffect } from '../src/index.js';
 import { newConfiguration } from './support/newConfiguration.js';
 import { newPeerDigest } from './support/newPeerDigest.js';
+import { newRoute } from './support/newRoute.js';
 import { newTargets } from './support/newTargets.js';
 import { NOT_RUN_HEAD } from './support/notRunHead.js';
 import { RoutingHarness } from './support/routingHarness.js';
@@ -66,6 +67,27 @@
   });
 });
 
+describe('the line of a whole answer', () => {
+  it('has the status, the time of the first event and the longest pause after it', () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({ routes: [newRoute({ kind: 'stream' })] }),
+      newTargets(1),
+    );
+    const requestId = entry.arrive();
+    const { sendId } = entry.lastSendOf(requestId);
+    entry.begin(requestId);
+    for (const pauseMs of [300, 50, 450, 100]) {
+      entry.pass(pauseMs);
+      entry.run({ type: 'answerWentOn', requestId, sendId });
+    }
+    entry.end(requestId, 4);
+    expect(getLines(entry).at(-1)).toMatchObject({
+      name: 'requestAnswered',
+      fields: { targetStatus: 200, events: 4, firstMs: 300, longestGapMs: 450, ageMs: 900 },
+    });
+  });
+});
+
 describe('every line', () => {
   it('has the fields of the catalogue, of their types, and no other', () => {
     const entry = RoutingHarness.ready(newConfiguration(), newTargets(2, { slots: 1 }));
