Gauges of what is left: quotas, repeats, and the age of the list of targets

Cause: on-call engineers saw refusals for quotas and for the budget of repeats without how near both were, and the age of the configuration but not of the list. Change: quota_least_left_share, teams_without_quota_left, repeats_least_left and targets_age_ms; one series each, whatever the number of teams. The count of repeats left is the one that decides (countRepeatsLeft).

--- a/packages/router/src/process/registerRouterGauges.ts
+++ b/packages/router/src/process/registerRouterGauges.ts
@@ -1,6 +1,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { registerProcessGauges } from '@parsleyhall/metrics';
 import type { Metrics } from '@parsleyhall/metrics';
+import { getQuotasLeft, getRepeatsLeft } from '@parsleyhall/routing';
 import type { RoutingState } from '@parsleyhall/routing';
 
 const LOOP_RESOLUTION_MS = 20;
@@ -26,6 +27,29 @@
     const { confirmed } = getState();
     return confirmed === undefined ? -1 : Math.round(performance.now() - confirmed.steadyMs);
   });
+  metrics.registerGauge('targets_age_ms', () => {
+    const { targetsConfirmedMs } = getState();
+    return targetsConfirmedMs === undefined
+      ? -1
+      : Math.round(performance.now() - targetsConfirmedMs);
+  });
+  metrics.registerGauge(
+    'quota_least_left_share',
+    () => getQuotasLeft(getState(), performance.now()).leastShare,
+  );
+  metrics.registerGauge(
+    'teams_without_quota_left',
+    () => getQuotasLeft(getState(), performance.now()).teamsWithout,
+  );
+  metrics.registerGauge('repeats_least_left', () => {
+    const state = getState();
+    const left = [...state.retryCounts.keys()].map((service) =>
+      getRepeatsLeft(state, service, performance.now()),
+    );
+    return Math.floor(
+      left.reduce((least, count) => Math.min(least, count), state.settings.retries.slack),
+    );
+  });
   metrics.registerGauge(
     'event_loop_delay_p99_ms',
     () => loop.percentile(NINETY_NINE) / NANOSECONDS_PER_MS,
--- a/packages/router/src/process/routerInputs.ts
+++ b/packages/router/src/process/routerInputs.ts
@@ -11,6 +11,8 @@
   /** The platform held nothing newer than the latest configuration at that moment. */
   readonly takeConfirmation: (confirmed: Confirmation) => void;
   readonly takeTargets: (targets: readonly ListedTarget[]) => void;
+  /** The platform held no newer list of targets. */
+  readonly takeTargetsConfirmation: () => void;
   /** What was taken of the quotas in the window before this start. */
   readonly takeRecalledQuotas: (taken: RecentQuotas) => void;
   readonly takePeerAddresses: (addresses: readonly string[]) => void;
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -141,6 +141,9 @@
     takeTargets: (targets) => {
       dispatch({ type: 'targetsListed', targets });
     },
+    takeTargetsConfirmation: () => {
+      dispatch({ type: 'targetsConfirmed' });
+    },
     takeRecalledQuotas: (taken) => {
       dispatch({ type: 'quotasRecalled', taken });
     },
--- a/packages/router/tests/lines.test.ts
+++ b/packages/router/tests/lines.test.ts
@@ -85,3 +85,17 @@
   const current = await format(renderLinesReference(), { ...options, filepath: 'LINES.md' });
   expect(readFileSync(file, 'utf8')).toBe(current);
 });
+
+test('the metrics tell what is left and how old the knowledge is', async () => {
+  await using target = await startRawTarget();
+  await using router = await startTestRouter([target]);
+  const answer = await fetch(`http://${router.metricsAddress}/metrics`);
+  const text = await answer.text();
+  const read = (name: string): number =>
+    Number(new RegExp(`^parsleyhall_${name} (.*)$`, 'm').exec(text)?.[1] ?? NaN);
+  expect(read('targets_listed')).toBe(1);
+  expect(read('targets_age_ms')).toBe(-1);
+  expect(read('quota_least_left_share')).toBe(1);
+  expect(read('teams_without_quota_left')).toBe(0);
+  expect(read('repeats_least_left')).toBe(50);
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,5 @@
+export { getQuotasLeft } from './quota/getQuotasLeft.js';
+export { getRepeatsLeft } from './retries/getRepeatsLeft.js';
 export { reduceRouting } from './reduceRouting.js';
 export { newRoutingState } from './newRoutingState.js';
 export type { AnswerHead } from './answerHead.js';
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -63,6 +63,8 @@
       return readConfiguration(state, event.configuration);
     case 'configurationConfirmed':
       return keep({ ...state, confirmed: event.confirmed });
+    case 'targetsConfirmed':
+      return keep({ ...state, targetsConfirmedMs: scope.nowMs });
     case 'targetsListed':
       return listTargets(state, event.targets, scope);
     case 'digestReceived':
--- a/packages/routing/src/retries/mayRepeat.ts
+++ b/packages/routing/src/retries/countRepeatsLeft.ts
@@ -5,10 +5,10 @@
 const MARGIN = 0.8;
 
 /**
- * Whether one more repeat is within this entry's part of the allowance. Each entry counts its own requests, so the
+ * How many more repeats are within this entry's part of the allowance. Each entry counts its own requests, so the
  * parts of all entries add up to the whole; only the fixed slack is divided by their number.
  */
-export const mayRepeat = ({
+export const countRepeatsLeft = ({
   counts,
   policy,
   entries,
@@ -18,10 +18,10 @@
   readonly policy: RetryPolicy;
   readonly entries: number;
   readonly nowMs: number;
-}): boolean => {
+}): number => {
   const recent = counts.filter(({ startMs }) => startMs > nowMs - policy.windowMs);
   const requests = recent.reduce((sum, count) => sum + count.requests, 0);
   const repeats = recent.reduce((sum, count) => sum + count.repeats, 0);
   const allowed = MARGIN * (policy.ratio * requests + policy.slack / Math.max(1, entries));
-  return repeats + 1 <= allowed;
+  return allowed - repeats;
 };
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -40,4 +40,6 @@
   | { readonly type: 'quotasRecalled'; readonly taken: RecentQuotas }
   | { readonly type: 'settingsRead'; readonly settings: RoutingSettings }
   | { readonly type: 'leaving' }
+  /** The list of targets was asked for and held nothing newer. */
+  | { readonly type: 'targetsConfirmed' }
   | { readonly type: 'ticked' };
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -18,6 +18,8 @@
   readonly confirmed?: Confirmation;
   /** Both clocks at the latest tick. */
   readonly ticked?: Confirmation;
+  /** When the list of targets was last known to be the newest, in milliseconds of the steady clock. */
+  readonly targetsConfirmedMs?: number;
   /** By target id. */
   readonly targets: Map<string, Target>;
   readonly requests: Map<number, TrackedRequest>;
--- a/packages/routing/tests/shared.test.ts
+++ b/packages/routing/tests/shared.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { getQuotasLeft, getRepeatsLeft } from '../src/index.js';
 import { newConfiguration } from './support/newConfiguration.js';
 import { newPeerDigest } from './support/newPeerDigest.js';
 import { newRoute } from './support/newRoute.js';
@@ -207,6 +208,25 @@
   });
 });
 
+describe('what is left', () => {
+  it('of the quotas is told for the team that has least', () => {
+    const entry = readyWithQuota();
+    expect(getQuotasLeft(entry.state, entry.nowMs)).toEqual({ leastShare: 1, teamsWithout: 0 });
+    isTaken(entry, 25);
+    expect(getQuotasLeft(entry.state, entry.nowMs)).toEqual({ leastShare: 0.75, teamsWithout: 0 });
+  });
+
+  it('of the repeats falls with each one and is back after the window', () => {
+    const entry = RoutingHarness.ready(newConfiguration(), newTargets(4));
+    const before = getRepeatsLeft(entry.state, 'one', entry.nowMs);
+    entry.fail(entry.arrive());
+    const after = getRepeatsLeft(entry.state, 'one', entry.nowMs);
+    expect(after).toBeCloseTo(before + 0.8 * 0.2 - 1);
+    entry.pass(12_000);
+    expect(getRepeatsLeft(entry.state, 'one', entry.nowMs)).toBeCloseTo(before);
+  });
+});
+
 describe('the budget of repeats', () => {
   it('stays within ratio and slack, the slack divided among the entries', () => {
     const entry = RoutingHarness.ready(
