A router of its own: parsleyhalld router, by a routing document

Cause: the scheduler that the users' platform runs could be started there alone; the product had neither command line nor configuration for it. Change: parsleyhalld router reads its settings and a routing document (routes, services, teams, targets, limits) in JSON, checked by schemas that settings check and docs/SETTINGS.md know; a newer document is taken over while it runs, a faulty one is named and the last one holds, and keys are refused once no good reading is recent enough. Calls have the product's own headers. deployments/router/ holds documents to start from. What was taken of quotas is not kept over a restart without a store. Tests: router.test of the daemon (served, key, forged team, deadline; documents while running; planned stop), deployments, settings reference. Ways in code: the platform's program is untouched by it.

--- a/packages/bench/src/lines/routerProcess.ts
+++ b/packages/bench/src/lines/routerProcess.ts
@@ -1,8 +1,8 @@
 import { createBoundedOutput, createLineWriter, startRouter } from '@parsleyhall/router';
 import type { LineWriter } from '@parsleyhall/router';
+import { plainCodec } from '@parsleyhall/daemon';
 import { newMeasuredPlatform } from './newMeasuredPlatform.js';
 import { newMeasuredSettings } from './newMeasuredSettings.js';
-import { plainCodec } from './plainCodec.js';
 
 const STANDARD_OUTPUT = 1;
 const [, , targetAddress = '', mode = 'on'] = process.argv;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,6 +3,8 @@
 import { startEntry } from './entryShell/startEntry.js';
 import { EXIT_CODES } from './process/exitCodes.js';
 import { entrySettingsFileSchema } from './settings/entrySettingsFileSchema.js';
+import { startRouterProcess } from './routerShell/startRouterProcess.js';
+import { routerSettingsFileSchema } from './settings/routerSettingsFileSchema.js';
 import { sideSettingsFileSchema } from './settings/sideSettingsFileSchema.js';
 import { startSide } from './sideShell/startSide.js';
 import { startFromFile } from './startFromFile.js';
@@ -37,4 +39,12 @@
       startFromFile({ path, schema: sideSettingsFileSchema, start: startSide }),
     ),
   )
+  .command('router', 'Take callers and call the targets itself, after a routing document')
+  .option('--settings', 'Settings file of the router, JSON')
+  .example('router --settings router.json')
+  .action(
+    withSettings((path) =>
+      startFromFile({ path, schema: routerSettingsFileSchema, start: startRouterProcess }),
+    ),
+  )
   .parse(process.argv);
--- a/packages/daemon/src/process/runUntilStopped.ts
+++ b/packages/daemon/src/process/runUntilStopped.ts
@@ -2,7 +2,7 @@
 import type { ProcessLogger } from './processLogger.js';
 import type { RunningProcess } from './runningProcess.js';
 
-/** Runs a process until its planned stop is finished; a second signal ends it at once. */
+/** Says that a process listens and runs it until its planned stop is finished; a second signal ends it at once. */
 export const runUntilStopped = async (
   running: RunningProcess,
   logger: ProcessLogger,
@@ -20,6 +20,8 @@
   };
   process.on('SIGTERM', takeSignal);
   process.on('SIGINT', takeSignal);
+  // Whoever reads the line may send a signal at once.
+  logger.info({ event: 'listening', ...running.listeners }, 'listening');
   await Promise.race([running.whenStopped, aborted.opened]);
   logger.info({ event: 'stopped', isPlanned: signals <= 1 }, 'stopped');
 };
--- /dev/null
+++ b/packages/daemon/src/routerShell/createFilePlatform.ts
@@ -0,0 +1,93 @@
+import { readFileSync } from 'node:fs';
+import { Either } from 'purify-ts';
+import { getClocks } from '@parsleyhall/router';
+import type { LineWriter, PlatformLink, RouterInputs } from '@parsleyhall/router';
+import { checkSettings } from '../settings/checkSettings.js';
+import type { RoutingDocument } from '../settings/routingDocument.js';
+import { routingDocumentSchema } from '../settings/routingDocumentSchema.js';
+
+const CHECK_PERIOD_MS = 500;
+
+const readText = (path: string): Either<string, string> =>
+  Either.encase(() => readFileSync(path, 'utf8')).mapLeft(({ message }) => message);
+
+const parseDocument = (text: string): Either<string, RoutingDocument> =>
+  checkSettings(routingDocumentSchema, text).mapLeft((faults) =>
+    faults
+      .map(({ path, found, allowed }) => `${path}: found ${found}, allowed ${allowed}`)
+      .join('; '),
+  );
+
+const tell = ({ targets, ...configuration }: RoutingDocument, inputs: RouterInputs): void => {
+  inputs.takeConfiguration({
+    ...configuration,
+    teams: configuration.teams.map(({ name, keys, priority, quota }) => ({
+      name,
+      keys,
+      ...(priority === undefined ? {} : { priority }),
+      ...(quota === undefined ? {} : { quota }),
+    })),
+  });
+  inputs.takeTargets(targets);
+};
+
+/**
+ * Follows a routing document in a file, in place of a platform. A faulty one leaves the last in force, of which it is
+ * then not known that it is the newest. What was taken of quotas is not kept over a restart.
+ */
+export const createFilePlatform = (path: string, lines: LineWriter): PlatformLink => {
+  let inputs: RouterInputs | undefined;
+  let lastText: string | undefined;
+  let isGood = false;
+  let checking: NodeJS.Timeout | undefined;
+
+  const take = (text: string): void => {
+    lastText = text;
+    parseDocument(text)
+      .ifRight((document) => {
+        isGood = true;
+        if (inputs !== undefined) {
+          tell(document, inputs);
+        }
+      })
+      .ifLeft((fault) => {
+        isGood = false;
+        lines.write({ name: 'configurationMalformed', fields: { fault } });
+      });
+  };
+
+  const check = (): void => {
+    const askedAt = getClocks();
+    readText(path)
+      .ifRight((text) => {
+        if (text !== lastText) {
+          take(text);
+        }
+        if (isGood) {
+          inputs?.takeConfirmation(askedAt);
+          inputs?.takeTargetsConfirmation();
+        }
+      })
+      .ifLeft((fault) => {
+        if (lastText !== undefined || isGood) {
+          lines.write({ name: 'configurationMalformed', fields: { fault } });
+        }
+        lastText = undefined;
+        isGood = false;
+      });
+  };
+
+  return {
+    follow: (given) => {
+      inputs = given;
+      check();
+      checking = setInterval(check, CHECK_PERIOD_MS);
+    },
+    confirmConfiguration: check,
+    rememberQuotas: () => undefined,
+    [Symbol.asyncDispose]: () => {
+      clearInterval(checking);
+      return Promise.resolve();
+    },
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/routerShell/plainCodec.ts
@@ -0,0 +1,50 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { CallCodec } from '@parsleyhall/router';
+
+const REQUEST_ID = 'x-request-id';
+const TEAM_KEY = 'x-team-key';
+const TEAM = 'x-team';
+const DEADLINE = 'x-deadline-ms';
+const PROMPT_TOKENS = 'x-prompt-tokens';
+const MAX_OUTPUT_TOKENS = 'x-max-output-tokens';
+const LAST_EVENT_ID = 'last-event-id';
+
+const readText = (headers: IncomingHttpHeaders, name: string): string | undefined => {
+  const value = headers[name];
+  return typeof value === 'string' && value !== '' ? value : undefined;
+};
+
+const readCount = (headers: IncomingHttpHeaders, name: string): number | undefined => {
+  const text = readText(headers, name);
+  return text !== undefined && /^\d{1,9}$/.test(text) ? Number(text) : undefined;
+};
+
+const withField = <Name extends string, Value>(
+  name: Name,
+  value: Value | undefined,
+): Readonly<Partial<Record<Name, Value>>> =>
+  (value === undefined ? {} : { [name]: value }) as Readonly<Partial<Record<Name, Value>>>;
+
+/** The product's own headers: `x-request-id`, `x-team-key`, `x-deadline-ms`, `x-prompt-tokens`, `x-max-output-tokens`. */
+export const plainCodec: CallCodec = {
+  ownHeaders: new Set([TEAM_KEY, TEAM, DEADLINE]),
+  readCall: (headers) => ({
+    ...withField('attemptId', readText(headers, REQUEST_ID)),
+    ...withField('key', readText(headers, TEAM_KEY)),
+    ...withField('deadlineMs', readCount(headers, DEADLINE)),
+    ...withField('promptTokens', readCount(headers, PROMPT_TOKENS)),
+    ...withField('maxOutputTokens', readCount(headers, MAX_OUTPUT_TOKENS)),
+    ...withField('lastEventId', readText(headers, LAST_EVENT_ID)),
+  }),
+  writeCall: ({ remainingMs, team, lastEventId }) => [
+    DEADLINE,
+    String(remainingMs),
+    ...(team === undefined ? [] : [TEAM, team]),
+    ...(lastEventId === undefined ? [] : [LAST_EVENT_ID, lastEventId]),
+  ],
+  readAnswer: (_, headers) => ({
+    ...withField('attemptId', readText(headers, REQUEST_ID)),
+    isSealed: true,
+    isNotRun: false,
+  }),
+};
--- /dev/null
+++ b/packages/daemon/src/routerShell/startRouterProcess.ts
@@ -0,0 +1,55 @@
+import { createBoundedOutput, createLineWriter, startRouter } from '@parsleyhall/router';
+import type { RouterSettings } from '@parsleyhall/router';
+import type { RunningProcess } from '../process/runningProcess.js';
+import type { RouterSettingsFile } from '../settings/routerSettingsFile.js';
+import { createFilePlatform } from './createFilePlatform.js';
+import { plainCodec } from './plainCodec.js';
+
+const STANDARD_OUTPUT = 1;
+const READINESS_PATH = '/ready';
+
+const toSettings = (file: RouterSettingsFile): RouterSettings => ({
+  host: file.host,
+  dataCentre: file.dataCentre,
+  ip: file.peers.ip,
+  callersAddress: file.callersAddress,
+  readinessAddress: file.readinessAddress,
+  readinessPath: READINESS_PATH,
+  metricsAddress: file.metricsAddress,
+  peerPort: file.peers.port,
+  peerAddresses: file.peers.addresses,
+  retries: { ratio: file.retryRatio, slack: file.retrySlack, windowMs: file.retryWindowMs },
+  quotas: { windowMs: file.quotaWindowMs, overshoot: 0, slack: 0 },
+  longestUnconfirmedMs: file.longestUnconfirmedMs,
+  stopWithinMs: file.stopWithinMs,
+});
+
+/** Starts a router that follows files in place of a platform; rejects when a listener cannot be bound. */
+export const startRouterProcess = async ({
+  file,
+}: {
+  readonly file: RouterSettingsFile;
+}): Promise<RunningProcess> => {
+  const settings = toSettings(file);
+  const output = createBoundedOutput(STANDARD_OUTPUT);
+  const lines = createLineWriter({ ...settings, output });
+  const router = await startRouter({
+    settings,
+    codec: plainCodec,
+    lines,
+    platform: createFilePlatform(file.routing, lines),
+  });
+  return {
+    listeners: {
+      callers: router.callersAddress,
+      readiness: router.readinessAddress,
+      metrics: router.metricsAddress,
+    },
+    requestStop: router.requestStop,
+    whenStopped: router.whenStopped,
+    [Symbol.asyncDispose]: async () => {
+      await router[Symbol.asyncDispose]();
+      await output[Symbol.asyncDispose]();
+    },
+  };
+};
--- a/packages/daemon/src/startFromFile.ts
+++ b/packages/daemon/src/startFromFile.ts
@@ -47,7 +47,6 @@
     const logger = createProcessLogger(file);
     try {
       await using running = await start({ file, logger });
-      logger.info({ event: 'listening', ...running.listeners }, 'listening');
       await runUntilStopped(running, logger);
       return EXIT_CODES.done;
     } catch (error) {
--- a/packages/daemon/tests/support/startDaemon.ts
+++ b/packages/daemon/tests/support/startDaemon.ts
@@ -24,7 +24,7 @@
 
 /** Starts `parsleyhalld` as a child process and waits until it listens. */
 export const startDaemon = async (
-  kind: 'entry' | 'side',
+  kind: 'entry' | 'side' | 'router',
   settings: object,
 ): Promise<DaemonProcess> => {
   const directory = mkdtempSync(join(tmpdir(), 'parsleyhall-'));
--- a/packages/operator/src/settings/documentKinds.ts
+++ b/packages/operator/src/settings/documentKinds.ts
@@ -1,6 +1,11 @@
 import type { z } from 'zod';
 import { configurationDocumentSchema } from '@parsleyhall/configuration';
-import { entrySettingsFileSchema, sideSettingsFileSchema } from '@parsleyhall/daemon';
+import {
+  entrySettingsFileSchema,
+  routerSettingsFileSchema,
+  routingDocumentSchema,
+  sideSettingsFileSchema,
+} from '@parsleyhall/daemon';
 import { operatorSettingsSchema } from './operatorSettingsSchema.js';
 
 interface DocumentKind {
@@ -14,6 +19,18 @@
 
 /** The kinds of document that `settings check` knows. */
 export const DOCUMENT_KINDS: readonly DocumentKind[] = [
+  {
+    name: 'routing',
+    title: 'Routing document',
+    fields: ['routes'],
+    schema: routingDocumentSchema,
+  },
+  {
+    name: 'router',
+    title: 'Settings of a router',
+    fields: ['callersAddress'],
+    schema: routerSettingsFileSchema,
+  },
   {
     name: 'configuration',
     title: 'Configuration document',
--- a/packages/operator/tests/deployments.test.ts
+++ b/packages/operator/tests/deployments.test.ts
@@ -7,7 +7,7 @@
 
 const ROOT = new URL('../../../', import.meta.url);
 
-const DEPLOYMENTS = ['nilegate', 'bureau'] as const;
+const DEPLOYMENTS = ['nilegate', 'bureau', 'router'] as const;
 
 test.each(DEPLOYMENTS)('the declared documents of %s have no faults', async (deployment) => {
   const folder = new URL(`deployments/${deployment}/`, ROOT);
