--- a/packages/operator/src/explain/describeRefusal.ts
+++ b/packages/operator/src/explain/describeRefusal.ts
@@ -54,6 +54,8 @@
       return `its time was up ${getNumber(line, 'ageMs')} ms after its arrival, with a send under way or behind it`;
     case 'outcomeUnknown':
       return 'a target that may have run it gave no whole answer, and no other send was allowed';
+    case 'callerGone':
+      return 'its caller had left before the entry, which was late with its events, read it';
     case 'stopping':
       return 'the entry was stopping and took no more requests';
     case 'bodyTooLarge':
--- a/packages/operator/src/explain/explainEvidence.ts
+++ b/packages/operator/src/explain/explainEvidence.ts
@@ -60,7 +60,10 @@
     case 'requestRefused':
     case 'callTurnedAway':
       return {
-        outcome: `answered ${getText(last, 'status')} by the entry; ${describeRun(last)}`,
+        outcome:
+          last.status === undefined
+            ? 'dropped without an answer; it has not run and will not'
+            : `answered ${getText(last, 'status')} by the entry; ${describeRun(last)}`,
         cause: withFailedSend(evidence, describeRefusal(last)),
       };
     case 'requestBrokenOff':
--- a/packages/operator/tests/explain.test.ts
+++ b/packages/operator/tests/explain.test.ts
@@ -138,6 +138,13 @@
   expect(await causeOf(4_000)).toContain('the caller hung up while target t1 was at work on it');
 });
 
+test('a request that was dropped unread is told apart from a refused one', async () => {
+  const line = newLine('front-1', 0, 'callTurnedAway', { attemptId: 'a7', reason: 'callerGone' });
+  const { output } = await explain('explain a7 x.log', { 'x.log': [line] });
+  expect(output).toContain('a7: dropped without an answer; it has not run and will not');
+  expect(output).toContain('cause: its caller had left before the entry');
+});
+
 test('a request without a last line is put down to the end of its process', async () => {
   const { output } = await explain('explain front-1/7', {
     '-': [
