Name a routing document that is missing at the start

Cause: createFilePlatform wrote a line for a file that could not be read only where an earlier reading was good; a wrong path in the settings showed as 503 alone. Change: each new text, and each new reason why there is none, is judged once. Test: a missing document is named, and taken once it is there.

--- a/packages/daemon/src/routerShell/createFilePlatform.ts
+++ b/packages/daemon/src/routerShell/createFilePlatform.ts
@@ -37,44 +37,36 @@
  */
 export const createFilePlatform = (path: string, lines: LineWriter): PlatformLink => {
   let inputs: RouterInputs | undefined;
-  let lastText: string | undefined;
+  /** The latest text, or why there was none. */
+  let seen: Either<string, string> | undefined;
   let isGood = false;
   let checking: NodeJS.Timeout | undefined;
 
-  const take = (text: string): void => {
-    lastText = text;
-    parseDocument(text)
-      .ifRight((document) => {
-        isGood = true;
+  const take = (read: Either<string, string>): void => {
+    const document = read.chain(parseDocument);
+    isGood = document.isRight();
+    document
+      .ifRight((good) => {
         if (inputs !== undefined) {
-          tell(document, inputs);
+          tell(good, inputs);
         }
       })
       .ifLeft((fault) => {
-        isGood = false;
         lines.write({ name: 'configurationMalformed', fields: { fault } });
       });
   };
 
   const check = (): void => {
     const askedAt = getClocks();
-    readText(path)
-      .ifRight((text) => {
-        if (text !== lastText) {
-          take(text);
-        }
-        if (isGood) {
-          inputs?.takeConfirmation(askedAt);
-          inputs?.takeTargetsConfirmation();
-        }
-      })
-      .ifLeft((fault) => {
-        if (lastText !== undefined || isGood) {
-          lines.write({ name: 'configurationMalformed', fields: { fault } });
-        }
-        lastText = undefined;
-        isGood = false;
-      });
+    const read = readText(path);
+    if (seen?.equals(read) !== true) {
+      seen = read;
+      take(read);
+    }
+    if (isGood) {
+      inputs?.takeConfirmation(askedAt);
+      inputs?.takeTargetsConfirmation();
+    }
   };
 
   return {
--- a/packages/daemon/tests/router.test.ts
+++ b/packages/daemon/tests/router.test.ts
@@ -58,7 +58,9 @@
   const write = (next: unknown): void => {
     writeFileSync(routing, typeof next === 'string' ? next : JSON.stringify(next));
   };
-  write(document);
+  if (document !== undefined) {
+    write(document);
+  }
   const router: DaemonProcess = await startDaemon('router', {
     process: 'router-1',
     host: 'front-1',
@@ -115,6 +117,17 @@
   expect((await system.call('/audits/1')).status).toBe(200);
 });
 
+test('a document that is missing at the start is named, and taken once it is there', async () => {
+  await using target = await startTarget();
+  await using system = await startRouter(undefined);
+  const line = await system.router.waitForLine({ event: 'configurationMalformed' });
+  expect(line.fault).toContain('routing.json');
+  expect((await system.call('/bindings/1')).status).toBe(503);
+  system.write(newDocument(1, ['bindings'], target.address));
+  await system.router.waitForLine({ event: 'configurationInForce', version: 1 });
+  expect((await system.call('/bindings/1')).status).toBe(200);
+});
+
 test('a stop as planned ends it with 0', async () => {
   await using target = await startTarget();
   await using system = await startRouter(newDocument(1, ['bindings'], target.address));
