measure:lines on the bench's own processes; a router's lines by its settings

It now starts the product's router by a routing document in a ProcessGroup, reads costs by readUsage, which readProcessCosts uses too, and gets a router without lines by handing startRouterProcess another writer, as the plain policies do with reducers. Two faults of the router alone, each with a test or a page: logLevel of its settings did not reach its lines, and these named every process 'router'. The routing document's fields that nothing enforces yet say so. The daemon's router test uses listenHttp and closeHttp. A try that failed: a router without lines by logLevel fatal; its line 'listening', which startProcess waits for, was silenced too.

--- a/packages/bench/src/lines/main.ts
+++ b/packages/bench/src/lines/main.ts
@@ -1,10 +1,16 @@
+import { mkdtemp, readFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { parseArgs } from 'node:util';
+import { MS_PER_SECOND } from '@parsleyhall/common';
+import { exitOnSignals } from '../cluster/exitOnSignals.js';
+import { ProcessGroup } from '../cluster/processGroup.js';
 import { formatTable } from '../report/formatTable.js';
+import { readUsage } from '../report/readUsage.js';
 import { runCalls } from './runCalls.js';
 import { startEventTarget } from './startEventTarget.js';
 import { startMeasuredRouter } from './startMeasuredRouter.js';
 
-const MS_PER_SECOND = 1_000;
 const MODES = ['on', 'off'] as const;
 const MEDIAN = 50;
 const NINETY_NINE = 99;
@@ -18,12 +24,15 @@
 const callers = Number(values.callers);
 const forMs = Number(values.seconds) * MS_PER_SECOND;
 
+exitOnSignals();
 await using target = await startEventTarget();
+await using group = new ProcessGroup(await mkdtemp(join(tmpdir(), 'parsleyhall-')));
 
 const measure = async (mode: (typeof MODES)[number]): Promise<readonly string[]> => {
-  const router = await startMeasuredRouter(target.address, mode);
-  const { whole, other, firstMs } = await runCalls(router.address, callers, forMs);
-  const { cpuSeconds, lines, bytes } = await router.finish();
+  const { name, listening } = await startMeasuredRouter(group, mode, target.address);
+  const { whole, other, firstMs } = await runCalls(String(listening.callers), callers, forMs);
+  const { cpuSeconds } = await readUsage(String(listening.metrics));
+  const written = await readFile(join(group.folder, `${name}.log`), 'utf8');
   return [
     mode,
     String(whole),
@@ -32,8 +41,8 @@
     String(firstMs.getValueAtPercentile(NINETY_NINE)),
     cpuSeconds.toFixed(2),
     ((cpuSeconds * MS_PER_SECOND) / Math.max(1, whole)).toFixed(2),
-    String(lines),
-    String(bytes),
+    String(written.split('\n').length - 1),
+    String(Buffer.byteLength(written)),
   ];
 };
 
--- a/packages/bench/src/lines/startMeasuredRouter.ts
+++ b/packages/bench/src/lines/startMeasuredRouter.ts
@@ -1,36 +1,36 @@
-import { fork } from 'node:child_process';
-import { once } from 'node:events';
-import { fileURLToPath } from 'node:url';
-import { z } from 'zod';
-import type { MeasuredRouter } from './measuredRouter.js';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { getScript } from '../cluster/getScript.js';
+import type { ProcessGroup } from '../cluster/processGroup.js';
+import type { RunningProcess } from '../cluster/runningProcess.js';
+import { newMeasuredDocument } from './newMeasuredDocument.js';
 
-const MAIN = fileURLToPath(new URL('./routerProcess.js', import.meta.url));
-const MICROSECONDS_PER_SECOND = 1_000_000;
-const NEWLINE = 10;
-const begun = z.object({ address: z.string() });
-const ended = z.object({ cpuMicroseconds: z.number() });
+const FREE_PORT = '127.0.0.1:0';
 
-/** Starts a router that writes lines, or none, in front of a target. */
+const SCRIPTS = {
+  on: getScript('@parsleyhall/daemon', 'main.js'),
+  off: getScript('@parsleyhall/bench', 'lines/silentRouterMain.js'),
+} as const;
+
+/** Starts a router by itself in front of a target, with its lines on or off. */
 export const startMeasuredRouter = async (
+  group: ProcessGroup,
+  name: keyof typeof SCRIPTS,
   targetAddress: string,
-  mode: 'on' | 'off',
-): Promise<MeasuredRouter> => {
-  const child = fork(MAIN, [targetAddress, mode], { stdio: ['ignore', 'pipe', 'inherit', 'ipc'] });
-  let lines = 0;
-  let bytes = 0;
-  child.stdout?.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    lines += chunk.filter((byte) => byte === NEWLINE).length;
-  });
-  const [first] = (await once(child, 'message')) as [unknown];
-  return {
-    address: begun.parse(first).address,
-    finish: async () => {
-      child.send('finish');
-      const [last] = (await once(child, 'message')) as [unknown];
-      const { cpuMicroseconds } = ended.parse(last);
-      await once(child, 'exit');
-      return { cpuSeconds: cpuMicroseconds / MICROSECONDS_PER_SECOND, lines, bytes };
-    },
+): Promise<RunningProcess> => {
+  const routing = join(group.folder, `${name}-routing.json`);
+  const settings = {
+    process: name,
+    host: name,
+    dataCentre: 'here',
+    routing,
+    callersAddress: FREE_PORT,
+    readinessAddress: FREE_PORT,
+    metricsAddress: FREE_PORT,
+    peers: { ip: '127.0.0.1', port: 0 },
   };
+  const file = join(group.folder, `${name}.json`);
+  await writeFile(routing, JSON.stringify(newMeasuredDocument(targetAddress)));
+  await writeFile(file, JSON.stringify(settings));
+  return group.start(name, SCRIPTS[name], ['router', '--settings', file]);
 };
--- a/packages/bench/src/report/processCost.ts
+++ b/packages/bench/src/report/processCost.ts
@@ -1,9 +1,7 @@
-/** What a process says it has cost since its start. */
-export interface ProcessCost {
+import type { Usage } from './usage.js';
+
+/** What an entry or a side process says it has cost since its start. */
+export interface ProcessCost extends Usage {
   readonly process: string;
   readonly role: 'entry' | 'side';
-  readonly cpuSeconds: number;
-  readonly residentBytes: number;
-  /** Counters of the process by name, summed over their labels. */
-  readonly counters: Readonly<Record<string, number>>;
 }
--- a/packages/bench/src/report/readProcessCosts.ts
+++ b/packages/bench/src/report/readProcessCosts.ts
@@ -1,22 +1,6 @@
-import { request } from 'undici';
 import type { Cluster } from '../cluster/cluster.js';
 import type { ProcessCost } from './processCost.js';
-
-const SERIES = /^([a-zA-Z_:][a-zA-Z0-9_:]*)(?:\{[^}]*\})? ([0-9.eE+-]+)$/;
-
-const readCounters = (text: string): Readonly<Record<string, number>> => {
-  const counters: Record<string, number> = {};
-  for (const line of text.split('\n')) {
-    const [, name, value] = SERIES.exec(line) ?? [];
-    if (name !== undefined) {
-      counters[name] = (counters[name] ?? 0) + Number(value);
-    }
-  }
-  return counters;
-};
-
-const findCounter = (counters: Readonly<Record<string, number>>, ending: string): number =>
-  Object.entries(counters).find(([name]) => name.endsWith(ending))?.[1] ?? 0;
+import { readUsage } from './readUsage.js';
 
 const readOne = async (
   process: string,
@@ -24,13 +8,7 @@
   address: string,
 ): Promise<readonly ProcessCost[]> => {
   try {
-    const { body } = await request(`http://${address}/metrics`);
-    const counters = readCounters(await body.text());
-    const cpuSeconds =
-      findCounter(counters, 'process_user_cpu_seconds') +
-      findCounter(counters, 'process_system_cpu_seconds');
-    const residentBytes = findCounter(counters, 'process_resident_memory_bytes');
-    return [{ process, role, cpuSeconds, residentBytes, counters }];
+    return [{ process, role, ...(await readUsage(address)) }];
   } catch {
     return [];
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,7 +1,7 @@
 export { checkSettings } from './settings/checkSettings.js';
 export type { EntrySettingsFile } from './settings/entrySettingsFile.js';
 export { entrySettingsFileSchema } from './settings/entrySettingsFileSchema.js';
-export { plainCodec } from './routerShell/plainCodec.js';
+export { startRouterProcess } from './routerShell/startRouterProcess.js';
 export { routerSettingsFileSchema } from './settings/routerSettingsFileSchema.js';
 export { routingDocumentSchema } from './settings/routingDocumentSchema.js';
 export type { SideSettingsFile } from './settings/sideSettingsFile.js';
--- a/packages/daemon/src/routerShell/startRouterProcess.ts
+++ b/packages/daemon/src/routerShell/startRouterProcess.ts
@@ -27,12 +27,14 @@
 /** Starts a router that follows files in place of a platform; rejects when a listener cannot be bound. */
 export const startRouterProcess = async ({
   file,
+  createLines = createLineWriter,
 }: {
   readonly file: RouterSettingsFile;
+  readonly createLines?: typeof createLineWriter;
 }): Promise<RunningProcess> => {
   const settings = toSettings(file);
   const output = createBoundedOutput(STANDARD_OUTPUT);
-  const lines = createLineWriter({ ...settings, output });
+  const lines = createLines({ ...file, level: file.logLevel, output });
   const router = await startRouter({
     settings,
     codec: plainCodec,
--- a/packages/daemon/src/settings/routingDocumentSchema.ts
+++ b/packages/daemon/src/settings/routingDocumentSchema.ts
@@ -63,11 +63,13 @@
 });
 
 const limits = z.strictObject({
-  maxHeaderBytes: count.default(DEFAULT_MAX_HEADER_BYTES).describe('Largest head of a request'),
+  maxHeaderBytes: count
+    .default(DEFAULT_MAX_HEADER_BYTES)
+    .describe('Largest head of a request; not enforced yet'),
   maxBodyBytes: count.default(DEFAULT_MAX_BODY_BYTES).describe('Largest body of a request'),
   headerTimeoutMs: milliseconds
     .default(DEFAULT_HEADER_TIMEOUT_MS)
-    .describe('Time for a head to arrive'),
+    .describe('Time for a head to arrive; not enforced yet'),
   idleTimeoutMs: milliseconds
     .default(DEFAULT_IDLE_TIMEOUT_MS)
     .describe('Time that a connection may be idle'),
@@ -75,8 +77,14 @@
 
 const service = z.strictObject({
   name: name.describe('Name of the service'),
-  healthPath: z.string().startsWith('/').default('/').describe('Path of its health check'),
-  maxConnections: count.describe('Connections that one target takes from all routers'),
+  healthPath: z
+    .string()
+    .startsWith('/')
+    .default('/')
+    .describe('Path of its health check; not asked yet'),
+  maxConnections: count.describe(
+    'Connections that one target takes from all routers; not enforced yet',
+  ),
 });
 
 /** The routing document: routes, services, teams and targets. */
--- a/packages/daemon/tests/router.test.ts
+++ b/packages/daemon/tests/router.test.ts
@@ -1,10 +1,9 @@
-import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { closeHttp, listenHttp } from '@parsleyhall/common';
 import { expect, test } from 'vitest';
 import type { DaemonProcess } from './support/daemonProcess.js';
 import { startDaemon } from './support/startDaemon.js';
@@ -17,19 +16,8 @@
     response.writeHead(200, typeof id === 'string' ? { 'x-request-id': id } : {});
     response.end(`served ${url}`);
   });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    seen,
-    [Symbol.asyncDispose]: () =>
-      new Promise<void>((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
-  };
+  const address = await listenHttp(server, { address: '127.0.0.1', port: 0 });
+  return { address, seen, [Symbol.asyncDispose]: () => closeHttp(server) };
 };
 
 const newRoute = (name: string) => ({
--- a/packages/router/src/lines/createLineWriter.ts
+++ b/packages/router/src/lines/createLineWriter.ts
@@ -1,4 +1,5 @@
 import { default as bunyan } from 'bunyan';
+import type { LogLevelString } from 'bunyan';
 import type { BoundedOutput } from './boundedOutput.js';
 import type { LineWriter } from './lineWriter.js';
 import { PROCESS_LINES } from './processLines.js';
@@ -8,25 +9,29 @@
 // The library hands its streams whole lines, whatever its types say.
 const isLine = (value: unknown): value is string => typeof value === 'string';
 
-/** Writes JSON lines to the output, each with the names of the host and its data centre. */
+/** Writes JSON lines of a level or above to the output, each with the names of the process, its host and data centre. */
 export const createLineWriter = ({
+  process,
   host,
   dataCentre,
+  level,
   output,
 }: {
+  readonly process: string;
   readonly host: string;
   readonly dataCentre: string;
+  readonly level: LogLevelString;
   readonly output: BoundedOutput;
 }): LineWriter => {
   const createLogger = (put: (line: string) => void): bunyan =>
     bunyan.createLogger({
       name: 'parsleyhalld',
-      process: 'router',
+      process,
       host,
       dataCentre,
       streams: [
         {
-          level: 'info',
+          level,
           stream: {
             write: (line: object) => {
               if (isLine(line)) {
@@ -37,17 +42,17 @@
         },
       ],
     });
-  const process = createLogger(output.writeFirst);
-  const decisions = createLogger(output.write);
+  const processLogger = createLogger(output.writeFirst);
+  const decisionLogger = createLogger(output.write);
   output.whenLeftOut((lines) => {
-    process.warn({ event: 'linesLeftOut', lines }, NO_MESSAGE);
+    processLogger.warn({ event: 'linesLeftOut', lines }, NO_MESSAGE);
   });
   return {
     write: ({ name, fields }) => {
-      process[PROCESS_LINES[name].level]({ event: name, ...fields }, NO_MESSAGE);
+      processLogger[PROCESS_LINES[name].level]({ event: name, ...fields }, NO_MESSAGE);
     },
     observe: ({ name, fields }) => {
-      decisions.info({ event: name, ...fields }, NO_MESSAGE);
+      decisionLogger.info({ event: name, ...fields }, NO_MESSAGE);
     },
   };
 };
--- a/packages/router/tests/lines.test.ts
+++ b/packages/router/tests/lines.test.ts
@@ -8,7 +8,7 @@
 
 const MEBIBYTE = 1_048_576;
 const SECOND_MS = 1_000;
-const NAMES = { host: 'self', dataCentre: 'here' };
+const NAMES = { process: 'router', host: 'self', dataCentre: 'here', level: 'info' } as const;
 
 interface Line {
   readonly event?: string;
@@ -60,6 +60,30 @@
   expect(parseLines(written.join(''))).toMatchObject([{ event: 'storeRegained', host: 'self' }]);
 });
 
+test('lines below the level are not written, and each names its process', () => {
+  const written: string[] = [];
+  const put = (line: string): void => {
+    written.push(line);
+  };
+  const lines = createLineWriter({
+    ...NAMES,
+    process: 'router-7',
+    level: 'warn',
+    output: {
+      write: put,
+      writeFirst: put,
+      whenLeftOut: () => undefined,
+      [Symbol.asyncDispose]: () => Promise.resolve(),
+    },
+  });
+  lines.observe({ type: 'observe', name: 'clockJumped', fields: { jumpMs: 1 } });
+  lines.write({ name: 'started', fields: { address: 'a' } });
+  lines.write({ name: 'memoryMalformed', fields: { fault: 'f' } });
+  expect(parseLines(written.join(''))).toMatchObject([
+    { event: 'memoryMalformed', process: 'router-7' },
+  ]);
+});
+
 test('callers are served while nobody reads the lines', async () => {
   await using pipe = await openStalledPipe();
   const lines = createLineWriter({ ...NAMES, output: createBoundedOutput(pipe.descriptor) });
