Lines and metrics that tell unread requests from stalls and late sends

Change: a watch over the listening socket. New lines connectionsWaited, loopStalled and sendLeftLate; unreadMs, a bound on how long a request lay unread, in every line about it; the summary send_left_after_ms. No decision changes.

--- a/packages/router/src/callers/createCallHandler.ts
+++ b/packages/router/src/callers/createCallHandler.ts
@@ -3,6 +3,7 @@
 import type { CallTable } from '../calls/callTable.js';
 import type { LineWriter } from '../lines/lineWriter.js';
 import type { PlannedStop } from '../process/plannedStop.js';
+import type { ReadingWatch } from '../reading/readingWatch.js';
 import { readBody } from './readBody.js';
 import { sendRefusal } from './sendRefusal.js';
 import { waitForCaller } from './waitForCaller.js';
@@ -19,6 +20,7 @@
   lines,
   getMaxBodyBytes,
   isBehind,
+  reading,
 }: {
   readonly codec: CallCodec;
   readonly calls: CallTable;
@@ -26,6 +28,7 @@
   readonly lines: LineWriter;
   readonly getMaxBodyBytes: () => number;
   readonly isBehind: () => boolean;
+  readonly reading: ReadingWatch;
 }): ((request: IncomingMessage, response: ServerResponse) => void) => {
   const tellTurnedAway = (request: IncomingMessage, reason: string, status?: number): void => {
     const { attemptId } = codec.readCall(request.headers);
@@ -54,6 +57,7 @@
 
   return (request, response) => {
     const arrivedMs = performance.now();
+    const unreadSinceMs = reading.getUnreadSinceMs(request.socket);
     if (stop.isClosed()) {
       refuseAtStop(request, response);
       return;
@@ -71,7 +75,7 @@
       }
       const take = (isThere: boolean): void => {
         if (isThere) {
-          calls.take({ request, response, body, arrivedMs });
+          calls.take({ request, response, body, arrivedMs, unreadSinceMs });
           return;
         }
         response.destroy();
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { closeHttp, listenHttp, splitAddress } from '@parsleyhall/common';
 import type { CallersServer } from './callersServer.js';
 
@@ -9,9 +10,13 @@
 const FIRST_IDLE_TIMEOUT_MS = 15_000;
 
 /** Creates the server for callers over the plain HTTP library, since a relay needs the connections themselves. */
-export const createCallersServer = (
-  handle: (request: IncomingMessage, response: ServerResponse) => void,
-): CallersServer => {
+export const createCallersServer = ({
+  handle,
+  noteAccepted,
+}: {
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  readonly noteAccepted: (socket: Socket) => void;
+}): CallersServer => {
   let open = 0;
   const server = createServer(
     {
@@ -30,6 +35,7 @@
       handle(request, response);
     },
   );
+  server.on('connection', noteAccepted);
   return {
     countOpen: () => open,
     listen: (address) => listenHttp(server, splitAddress(address)),
--- a/packages/router/src/calls/callTable.ts
+++ b/packages/router/src/calls/callTable.ts
@@ -10,6 +10,8 @@
     readonly body: Buffer;
     /** When its head came, in milliseconds of the steady clock. */
     readonly arrivedMs: number;
+    /** The earliest moment at which it may have come, by the same clock. */
+    readonly unreadSinceMs: number;
   }) => void;
   readonly startSend: (send: Extract<RoutingEffect, { type: 'send' }>) => void;
   readonly cancelSend: (requestId: number, sendId: number) => void;
--- a/packages/router/src/calls/createCallTable.ts
+++ b/packages/router/src/calls/createCallTable.ts
@@ -1,3 +1,4 @@
+import { defineField } from '@parsleyhall/common';
 import type { RoutingEffect, RoutingEvent } from '@parsleyhall/routing';
 import type { Caller } from '../callers/caller.js';
 import { createRelay } from '../callers/createRelay.js';
@@ -27,11 +28,17 @@
   codec,
   dispatch,
   isClosing,
+  tellLeft,
 }: {
   readonly codec: CallCodec;
   readonly dispatch: (event: RoutingEvent) => void;
   /** Connections end with their answers. */
   readonly isClosing: () => boolean;
+  /** The first byte of a send left so many milliseconds after the decision. */
+  readonly tellLeft: (
+    send: { readonly requestId: number; readonly sendId: number; readonly attemptId?: string },
+    afterMs: number,
+  ) => void;
 }): CallTable => {
   const calls = new Map<number, Call>();
   const targetCaller = createTargetCaller();
@@ -88,10 +95,15 @@
     if (call === undefined) {
       return;
     }
-    const { request, body } = call.caller;
+    const {
+      request,
+      body,
+      headers: { attemptId },
+    } = call.caller;
     const { targetId, team, remainingMs } = send;
     const lastEventId = call.relay.getLastEventId();
     const events = newSinkEvents(call, send);
+    const decidedMs = performance.now();
     call.sendId = send.sendId;
     call.exchange = targetCaller.call(
       {
@@ -108,6 +120,11 @@
           }),
         ],
         body,
+        noteLeft: () => {
+          const { requestId, sendId } = send;
+          const named = { requestId, sendId, ...defineField('attemptId', attemptId) };
+          tellLeft(named, performance.now() - decidedMs);
+        },
       },
       send.isWhole
         ? createWholeSink(call.relay, events)
@@ -136,7 +153,7 @@
   };
 
   return {
-    take: ({ request, response, body, arrivedMs }) => {
+    take: ({ request, response, body, arrivedMs, unreadSinceMs }) => {
       const requestId = nextRequestId;
       nextRequestId += 1;
       const headers = codec.readCall(request.headers);
@@ -145,7 +162,8 @@
       calls.set(requestId, call);
       watchCaller(call);
       const elapsedMs = performance.now() - arrivedMs;
-      dispatch({ type: 'arrived', arrival: newArrival(caller, elapsedMs, Math.random()) });
+      const times = { elapsedMs, unreadMs: arrivedMs - unreadSinceMs };
+      dispatch({ type: 'arrived', arrival: newArrival(caller, times, Math.random()) });
     },
     startSend: startExchange,
     cancelSend: (requestId, sendId) => {
--- a/packages/router/src/lines/processLines.ts
+++ b/packages/router/src/lines/processLines.ts
@@ -30,6 +30,24 @@
     fields: ['type', 'detail'],
     optional: [],
   },
+  connectionsWaited: {
+    level: 'warn',
+    text: 'connections waited to be accepted; no request of theirs was seen meanwhile',
+    fields: ['connections', 'waitedMs'],
+    optional: [],
+  },
+  loopStalled: {
+    level: 'warn',
+    text: 'the process did nothing else for so long; what came meanwhile is read now',
+    fields: ['stalledMs'],
+    optional: [],
+  },
+  sendLeftLate: {
+    level: 'warn',
+    text: "a send's first byte left long after the decision",
+    fields: ['requestId', 'sendId', 'afterMs'],
+    optional: ['attemptId'],
+  },
   peerMessageRefused: {
     level: 'warn',
     text: 'a datagram of another entry could not be read',
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -13,6 +13,7 @@
 import { createCallTable } from '../calls/createCallTable.js';
 import type { LineWriter } from '../lines/lineWriter.js';
 import { startPeerLink } from '../peers/startPeerLink.js';
+import { createReadingWatch } from '../reading/createReadingWatch.js';
 import { createLatenessCheck } from './createLatenessCheck.js';
 import { createPlannedStop } from './createPlannedStop.js';
 import { getClocks } from './getClocks.js';
@@ -26,6 +27,8 @@
 import { startReadiness } from './startReadiness.js';
 
 const TICK_MS = 50;
+/** A send whose first byte leaves later gets a line. */
+const LEFT_LATE_MS = 100;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
 /** Starts the process that takes callers, schedules their requests and calls the targets itself. */
@@ -63,7 +66,18 @@
     lines,
   });
 
-  const calls = createCallTable({ codec, dispatch, isClosing: stop.isStopping });
+  const calls = createCallTable({
+    codec,
+    dispatch,
+    isClosing: stop.isStopping,
+    tellLeft: (send, afterMs) => {
+      metrics.recordMs('send_left_after_ms', {}, afterMs);
+      if (afterMs > LEFT_LATE_MS) {
+        const fields = { ...send, afterMs: Math.round(afterMs) };
+        lines.write({ name: 'sendLeftLate', fields });
+      }
+    },
+  });
 
   function runEffect(effect: RoutingEffect): void {
     switch (effect.type) {
@@ -95,6 +109,16 @@
     }
   }
 
+  const reading = createReadingWatch({
+    getNowMs: () => performance.now(),
+    tellBacklog: (connections, waitedMs) => {
+      const fields = { connections, waitedMs: Math.round(waitedMs) };
+      lines.write({ name: 'connectionsWaited', fields });
+    },
+    tellStall: (stalledMs) => {
+      lines.write({ name: 'loopStalled', fields: { stalledMs: Math.round(stalledMs) } });
+    },
+  });
   const lateness = createLatenessCheck(TICK_MS, () => performance.now());
   const handle = createCallHandler({
     codec,
@@ -102,13 +126,14 @@
     stop,
     lines,
     isBehind: lateness.isBehind,
+    reading,
     getMaxBodyBytes: () =>
       getState().index?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
   });
 
   registerRouterGauges(metrics, getState);
   const metricsListener = await startMetricsListener(settings.metricsAddress, metrics);
-  const callers = createCallersServer(handle);
+  const callers = createCallersServer({ handle, noteAccepted: reading.noteAccepted });
   const peers = await startPeerLink({
     ip: settings.ip,
     port: settings.peerPort,
@@ -154,6 +179,7 @@
   });
 
   const ticking = setInterval(() => {
+    reading.noteTick();
     lateness.noteTick();
     dispatch({ type: 'ticked' });
   }, TICK_MS);
--- a/packages/router/src/targets/createTargetCaller.ts
+++ b/packages/router/src/targets/createTargetCaller.ts
@@ -60,7 +60,7 @@
   };
 
   const call = (
-    { address, method, path, headers, body }: TargetCall,
+    { address, method, path, headers, body, noteLeft }: TargetCall,
     sink: AnswerSink,
   ): Exchange => {
     const connection = take(address);
@@ -110,6 +110,7 @@
       onRequestStart: (started) => {
         controller = started;
         hasLeft = true;
+        noteLeft();
       },
       onResponseStart: (started, status, responseHeaders) => {
         if (isOver) {
--- a/packages/router/src/targets/targetCall.ts
+++ b/packages/router/src/targets/targetCall.ts
@@ -7,4 +7,6 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Its first byte leaves now. */
+  readonly noteLeft: () => void;
 }
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -1,5 +1,12 @@
 const REQUEST = ['requestId', 'route', 'service', 'tier', 'ageMs', 'leftMs', 'sends'] as const;
-const REQUEST_TOO = ['attemptId', 'team', 'teamPriority', 'isBeyondQuota', 'target'] as const;
+const REQUEST_TOO = [
+  'attemptId',
+  'team',
+  'teamPriority',
+  'isBeyondQuota',
+  'target',
+  'unreadMs',
+] as const;
 const WAIT = ['waitMs', 'heldSlots', 'urgentSlots'] as const;
 const ENDING = ['reason', 'status', 'mayHaveRun'] as const;
 
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -60,6 +60,10 @@
   teams: { type: 'number', text: 'teams of the configuration' },
   tier: { type: 'number', text: "the route's priority, 0 the highest" },
   totalInFlight: { type: 'number', text: 'requests of all entries at the target before this send' },
+  unreadMs: {
+    type: 'number',
+    text: 'milliseconds for which the request may have lain unread before its arrival counts',
+  },
   urgentSlots: { type: 'number', text: 'slots that more urgent arrivals keep busy' },
   version: { type: 'number', text: 'version of the configuration in force' },
   waitMs: {
--- a/packages/routing/src/requests/arrival.ts
+++ b/packages/routing/src/requests/arrival.ts
@@ -9,6 +9,8 @@
   readonly key?: string;
   /** How long the caller waits from now, in milliseconds; undefined where it does not say. */
   readonly deadlineMs?: number;
+  /** How long it may have lain unread in front of this entry, in milliseconds; undefined where that is little. */
+  readonly unreadMs?: number;
   readonly promptTokens?: number;
   readonly maxOutputTokens?: number;
   /** The caller's guess of the output's tokens. */
--- a/packages/routing/src/requests/describeRequest.ts
+++ b/packages/routing/src/requests/describeRequest.ts
@@ -14,6 +14,7 @@
   ageMs: Math.round(nowMs - request.arrivedMs),
   leftMs: Math.round(request.deadlineAtMs - nowMs),
   sends: request.sends,
+  ...(request.unreadMs === undefined ? {} : { unreadMs: request.unreadMs }),
   ...(request.team === undefined ? {} : { team: request.team }),
   ...(request.isBeyondQuota ? { isBeyondQuota: true } : {}),
   ...(request.send === undefined ? {} : { target: request.send.targetId }),
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -31,6 +31,7 @@
     ...(team?.priority === undefined ? {} : { teamPriority: team.priority }),
     tier: route.priority,
     arrivedMs: nowMs,
+    ...(arrival.unreadMs === undefined ? {} : { unreadMs: arrival.unreadMs }),
     objectiveAtMs: nowMs + route.objectiveMs,
     patienceAtMs: nowMs + Math.min(route.longestSilenceMs, waitsMs),
     deadlineAtMs: nowMs + waitsMs,
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -9,12 +9,13 @@
   readonly route: Route;
   readonly service: string;
   readonly team?: string;
-  /** 0 is the most urgent. */
   /** The team's own priority, which goes before its route's; 0 is the highest. */
   readonly teamPriority?: number;
   /** The priority of the route, which decides among teams of one priority; 0 is the highest. */
   readonly tier: number;
   readonly arrivedMs: number;
+  /** How long it may have lain unread before, in milliseconds; undefined where that is little. */
+  readonly unreadMs?: number;
   /** From here on its answer, or its first event, is late. */
   readonly objectiveAtMs: number;
   /** From here on its caller is gone unless the answer has begun. */
