A failing test: a request whose connection waited while its caller left

Callers saw work go on after they had left (GONE). The test makes every turn of the loop take 30 ms, no longer than what the present check calls on time, and puts 25 connections before one whose caller leaves at once: it is accepted 26 turns later and passed on.

On the code as it stands: the target gets /nonIdempotent/left.

--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -56,6 +56,46 @@
   while (performance.now() < endMs);
 };
 
+const TURN_MS = 30;
+/** Longer than a caller's close may go unnoticed, at one a turn. */
+const CONNECTIONS_AHEAD = 25;
+
+const connectTo = (router: RunningRouter): Socket => {
+  const [host = '', port = ''] = router.callersAddress.split(':');
+  const socket = connect({ host, port: Number(port) });
+  socket.on('error', () => undefined);
+  return socket;
+};
+
+const leaveAtOnce = (router: RunningRouter, path: string): void => {
+  const socket = connectTo(router);
+  socket.write(`GET ${path} HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt: a0\r\n\r\n`, () => {
+    socket.destroy();
+  });
+};
+
+/** Makes every turn of this thread's loop, which is the router's too, take its time. */
+const startBusyTurns = (): AsyncDisposable & { readonly count: () => number } => {
+  let turns = 0;
+  let isOver = false;
+  const turn = (): void => {
+    if (isOver) {
+      return;
+    }
+    turns += 1;
+    stallFor(TURN_MS);
+    setImmediate(turn);
+  };
+  setImmediate(turn);
+  return {
+    count: () => turns,
+    [Symbol.asyncDispose]: () => {
+      isOver = true;
+      return Promise.resolve();
+    },
+  };
+};
+
 const CLOSE = 'Connection: close\r\n';
 const HEAD = 'HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n';
 const STREAM_HEAD = `${HEAD}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
@@ -136,6 +176,28 @@
   });
 });
 
+describe('a request whose connection waited to be accepted', () => {
+  // Guards against GONE: work for callers that left while their connections waited, one accepted a turn of the loop.
+  it('is not passed on where its caller has left meanwhile', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const first = call(router, '/nonIdempotent/first', CLOSE);
+    const { socket } = await target.nextRequest();
+    socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    await first.whenEnded;
+    await using turns = startBusyTurns();
+    const idle = Array.from({ length: CONNECTIONS_AHEAD }, () => connectTo(router));
+    leaveAtOnce(router, '/nonIdempotent/left');
+    const caller = call(router, '/nonIdempotent/stayed', CLOSE);
+    const request = await target.nextRequest();
+    expect(turns.count()).toBeGreaterThan(CONNECTIONS_AHEAD);
+    expect(request.head).toContain('/nonIdempotent/stayed');
+    request.socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    expect(await caller.whenEnded).toMatch(/ok$/);
+    idle.forEach((one) => one.destroy());
+  });
+});
+
 describe('a cut answer', () => {
   it('is asked for again elsewhere where it may, and comes whole', async () => {
     const queue = new RequestQueue();
