Accept all connections before turning to what was read, so that a leaving caller is seen

Callers saw work go on after they had left (GONE), and requests held past their route's time (CONFIG).

Cause: the event loop accepts one connection a turn. The check for late reading looked at the process's timer, which was on time: it is one turn of the loop, the wait was hundreds of turns.

Change: while connections wait to be accepted, requests that were read are held in an intake (up to 150 ms; after that one a turn), so that turns are short, connections are accepted several times as fast, and the wait is where an end is seen. A request that may have lain unread for over 200 ms is started only after one more reading of its connection; how long it may have lain is known from the last moment at which nothing waited. This replaces the check by the timer and its gap of 50 ms between two marks.

The test that failed before passes: requests of callers that left while their connections waited are not passed on.

--- a/packages/router/src/callers/createCallHandler.ts
+++ b/packages/router/src/callers/createCallHandler.ts
@@ -3,10 +3,10 @@
 import type { CallTable } from '../calls/callTable.js';
 import type { LineWriter } from '../lines/lineWriter.js';
 import type { PlannedStop } from '../process/plannedStop.js';
+import type { Intake } from '../reading/intake.js';
 import type { ReadingWatch } from '../reading/readingWatch.js';
 import { readBody } from './readBody.js';
 import { sendRefusal } from './sendRefusal.js';
-import { waitForCaller } from './waitForCaller.js';
 
 /** When to come back to a host whose entry is stopping, at another entry, in milliseconds. */
 const STOPPING_RETRY_MS = 100;
@@ -19,16 +19,16 @@
   stop,
   lines,
   getMaxBodyBytes,
-  isBehind,
   reading,
+  intake,
 }: {
   readonly codec: CallCodec;
   readonly calls: CallTable;
   readonly stop: PlannedStop;
   readonly lines: LineWriter;
   readonly getMaxBodyBytes: () => number;
-  readonly isBehind: () => boolean;
   readonly reading: ReadingWatch;
+  readonly intake: Intake;
 }): ((request: IncomingMessage, response: ServerResponse) => void) => {
   const tellTurnedAway = (request: IncomingMessage, reason: string, status?: number): void => {
     const { attemptId } = codec.readCall(request.headers);
@@ -73,19 +73,18 @@
         refuseBody(request, response);
         return;
       }
-      const take = (isThere: boolean): void => {
-        if (isThere) {
+      intake.take({
+        request,
+        response,
+        unreadSinceMs,
+        start: () => {
           calls.take({ request, response, body, arrivedMs, unreadSinceMs });
-          return;
-        }
-        response.destroy();
-        tellTurnedAway(request, 'callerGone');
-      };
-      if (isBehind()) {
-        waitForCaller(request, response, take);
-        return;
-      }
-      take(true);
+        },
+        drop: () => {
+          response.destroy();
+          tellTurnedAway(request, 'callerGone');
+        },
+      });
     });
   };
 };
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -13,8 +13,8 @@
 import { createCallTable } from '../calls/createCallTable.js';
 import type { LineWriter } from '../lines/lineWriter.js';
 import { startPeerLink } from '../peers/startPeerLink.js';
+import { createIntake } from '../reading/createIntake.js';
 import { createReadingWatch } from '../reading/createReadingWatch.js';
-import { createLatenessCheck } from './createLatenessCheck.js';
 import { createPlannedStop } from './createPlannedStop.js';
 import { getClocks } from './getClocks.js';
 import { newRoutingSettings } from './newRoutingSettings.js';
@@ -119,14 +119,13 @@
       lines.write({ name: 'loopStalled', fields: { stalledMs: Math.round(stalledMs) } });
     },
   });
-  const lateness = createLatenessCheck(TICK_MS, () => performance.now());
   const handle = createCallHandler({
     codec,
     calls,
     stop,
     lines,
-    isBehind: lateness.isBehind,
     reading,
+    intake: createIntake(reading, () => performance.now()),
     getMaxBodyBytes: () =>
       getState().index?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
   });
@@ -180,7 +179,6 @@
 
   const ticking = setInterval(() => {
     reading.noteTick();
-    lateness.noteTick();
     dispatch({ type: 'ticked' });
   }, TICK_MS);
 
