Count a request's time from when it may have come, not from when it is judged

The route's time-out, the objective and the silence that a caller bears began when the scheduler saw the request; only the caller's own deadline was shortened, by the time since its head was read.

Change: an arrival tells how long its caller has waited so far, and all its bounds count from there. One whose time is over on arrival is refused as not run with that reason.

Three tests that failed before pass: two of the scheduler, one of the process (25 connections ahead, 30 ms a turn: the target got the whole 30 s).

--- a/packages/router/src/callers/createCallHandler.ts
+++ b/packages/router/src/callers/createCallHandler.ts
@@ -56,7 +56,7 @@
   };
 
   return (request, response) => {
-    const arrivedMs = performance.now();
+    const readMs = performance.now();
     const unreadSinceMs = reading.getUnreadSinceMs(request.socket);
     if (stop.isClosed()) {
       refuseAtStop(request, response);
@@ -78,7 +78,7 @@
         response,
         unreadSinceMs,
         start: () => {
-          calls.take({ request, response, body, arrivedMs, unreadSinceMs });
+          calls.take({ request, response, body, readMs, unreadSinceMs });
         },
         drop: () => {
           response.destroy();
--- a/packages/router/src/callers/newArrival.ts
+++ b/packages/router/src/callers/newArrival.ts
@@ -1,22 +1,33 @@
 import type { Arrival } from '@parsleyhall/routing';
+import { isUnreadForLong } from '../reading/isUnreadForLong.js';
 import type { Caller } from './caller.js';
 
-const TOLD_FROM_MS = 100;
-
-/** The request as the scheduler sees it; `elapsedMs` passed while its body was read, `unreadMs` may have passed before, both in milliseconds. */
-export const newArrival = (
-  { requestId, request, headers }: Caller,
-  { elapsedMs, unreadMs }: { readonly elapsedMs: number; readonly unreadMs: number },
-  random: number,
-): Arrival => {
-  const { deadlineMs, ...rest } = headers;
+/** The request as the scheduler sees it; all moments are milliseconds of the steady clock. */
+export const newArrival = ({
+  caller: { requestId, request, headers },
+  unreadSinceMs,
+  readMs,
+  nowMs,
+  random,
+}: {
+  readonly caller: Caller;
+  /** The earliest moment at which it may have come. */
+  readonly unreadSinceMs: number;
+  readonly readMs: number;
+  readonly nowMs: number;
+  readonly random: number;
+}): Arrival => {
+  const isLate = isUnreadForLong(unreadSinceMs, readMs);
+  const unreadMs = readMs - unreadSinceMs;
+  // It came at any moment of that span; the middle errs least.
+  const cameMs = isLate ? readMs - unreadMs / 2 : readMs;
   return {
-    ...rest,
+    ...headers,
     requestId,
     host: request.headers.host ?? '',
     path: (request.url ?? '/').split('?')[0] ?? '/',
     random,
-    ...(unreadMs < TOLD_FROM_MS ? {} : { unreadMs: Math.round(unreadMs) }),
-    ...(deadlineMs === undefined ? {} : { deadlineMs: Math.max(1, deadlineMs - elapsedMs) }),
+    elapsedMs: nowMs - cameMs,
+    ...(isLate ? { unreadMs: Math.round(unreadMs) } : {}),
   };
 };
--- a/packages/router/src/calls/callTable.ts
+++ b/packages/router/src/calls/callTable.ts
@@ -9,7 +9,7 @@
     readonly response: ServerResponse;
     readonly body: Buffer;
     /** When its head came, in milliseconds of the steady clock. */
-    readonly arrivedMs: number;
+    readonly readMs: number;
     /** The earliest moment at which it may have come, by the same clock. */
     readonly unreadSinceMs: number;
   }) => void;
--- a/packages/router/src/calls/createCallTable.ts
+++ b/packages/router/src/calls/createCallTable.ts
@@ -153,7 +153,7 @@
   };
 
   return {
-    take: ({ request, response, body, arrivedMs, unreadSinceMs }) => {
+    take: ({ request, response, body, readMs, unreadSinceMs }) => {
       const requestId = nextRequestId;
       nextRequestId += 1;
       const headers = codec.readCall(request.headers);
@@ -161,9 +161,14 @@
       const call: Call = { caller, relay: createRelay(caller, isClosing) };
       calls.set(requestId, call);
       watchCaller(call);
-      const elapsedMs = performance.now() - arrivedMs;
-      const times = { elapsedMs, unreadMs: arrivedMs - unreadSinceMs };
-      dispatch({ type: 'arrived', arrival: newArrival(caller, times, Math.random()) });
+      const arrival = newArrival({
+        caller,
+        unreadSinceMs,
+        readMs,
+        nowMs: performance.now(),
+        random: Math.random(),
+      });
+      dispatch({ type: 'arrived', arrival });
     },
     startSend: startExchange,
     cancelSend: (requestId, sendId) => {
--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -56,6 +56,8 @@
   while (performance.now() < endMs);
 };
 
+/** The time-out of the test's routes. */
+const TIMEOUT_MS = 30_000;
 const TURN_MS = 30;
 /** Longer than a caller's close may go unnoticed, at one a turn. */
 const CONNECTIONS_AHEAD = 25;
@@ -196,6 +198,22 @@
     expect(await caller.whenEnded).toMatch(/ok$/);
     idle.forEach((one) => one.destroy());
   });
+
+  // Guards against CONFIG and BUDGET: targets that get more time than is left, since the wait was not counted.
+  it('is passed on with the middle of what it may have waited taken off its time', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    await using turns = startBusyTurns();
+    const idle = Array.from({ length: CONNECTIONS_AHEAD }, () => connectTo(router));
+    const caller = call(router, '/nonIdempotent/x', CLOSE);
+    const request = await target.nextRequest();
+    expect(turns.count()).toBeGreaterThan(CONNECTIONS_AHEAD);
+    const waitedMs = CONNECTIONS_AHEAD * TURN_MS;
+    expect(Number(request.getHeader('Left'))).toBeLessThan(TIMEOUT_MS - waitedMs / 2);
+    request.socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    expect(await caller.whenEnded).toMatch(/ok$/);
+    idle.forEach((one) => one.destroy());
+  });
 });
 
 describe('a cut answer', () => {
--- a/packages/routing/src/requests/arrival.ts
+++ b/packages/routing/src/requests/arrival.ts
@@ -7,7 +7,9 @@
   readonly host: string;
   readonly path: string;
   readonly key?: string;
-  /** How long the caller waits from now, in milliseconds; undefined where it does not say. */
+  /** How long its caller has waited by now, as far as this entry can tell, in milliseconds. */
+  readonly elapsedMs: number;
+  /** How long the caller waits in all, in milliseconds; undefined where it does not say. */
   readonly deadlineMs?: number;
   /** How long it may have lain unread in front of this entry, in milliseconds; undefined where that is little. */
   readonly unreadMs?: number;
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -21,6 +21,7 @@
   readonly isBeyondQuota: boolean;
   readonly nowMs: number;
 }): TrackedRequest => {
+  const cameMs = nowMs - arrival.elapsedMs;
   const waitsMs = Math.min(arrival.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   return {
     requestId: arrival.requestId,
@@ -30,11 +31,11 @@
     ...(team === undefined ? {} : { team: team.name }),
     ...(team?.priority === undefined ? {} : { teamPriority: team.priority }),
     tier: route.priority,
-    arrivedMs: nowMs,
+    arrivedMs: cameMs,
     ...(arrival.unreadMs === undefined ? {} : { unreadMs: arrival.unreadMs }),
-    objectiveAtMs: nowMs + route.objectiveMs,
-    patienceAtMs: nowMs + Math.min(route.longestSilenceMs, waitsMs),
-    deadlineAtMs: nowMs + waitsMs,
+    objectiveAtMs: cameMs + route.objectiveMs,
+    patienceAtMs: cameMs + Math.min(route.longestSilenceMs, waitsMs),
+    deadlineAtMs: cameMs + waitsMs,
     promptTokens: arrival.promptTokens ?? 0,
     outputTokens: arrival.expectedOutputTokens ?? arrival.maxOutputTokens ?? 0,
     quotaCost,
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -37,7 +37,7 @@
         burst: team.quota.burst,
       };
 
-const refuseOverload = (
+const refuseVain = (
   state: RoutingState,
   request: TrackedRequest,
   placement: Placement,
@@ -45,7 +45,8 @@
 ): Outcome => {
   const retryAfterMs = getRetryAfterMs(placement.waitMs);
   const inputs = { ...describeWait(placement), prefillMs: Math.round(placement.prefillMs) };
-  return refuse(state, request, { status: 503, reason: 'overloaded', retryAfterMs }, nowMs, inputs);
+  const reason = nowMs >= request.deadlineAtMs ? 'deadlinePassed' : 'overloaded';
+  return refuse(state, request, { status: 503, reason, retryAfterMs }, nowMs, inputs);
 };
 
 const observeWaiting = (
@@ -74,8 +75,9 @@
     return refuse(state, request, { status: 503, reason: 'noTarget', retryAfterMs }, nowMs);
   }
   const placement = predictPlacement(state, request, nowMs);
-  if (nowMs + placement.waitMs + placement.prefillMs > request.patienceAtMs) {
-    return refuseOverload(state, request, placement, nowMs);
+  const beginsMs = nowMs + placement.waitMs + placement.prefillMs;
+  if (beginsMs > request.patienceAtMs || nowMs >= request.deadlineAtMs) {
+    return refuseVain(state, request, placement, nowMs);
   }
   const taken = putRequest(noteInflow(state, placement.own, nowMs), request);
   const dispatched = dispatchWaiting(taken, service, scope);
--- a/packages/routing/tests/sending.test.ts
+++ b/packages/routing/tests/sending.test.ts
@@ -157,6 +157,22 @@
     expect(entry.effects.some(({ type }) => type === 'cancelSend')).toBe(true);
   });
 
+  // Guards against CONFIG: requests that waited before they were judged and were held past their time.
+  it('has used up what passed before it was judged', () => {
+    const entry = readyFor('nonIdempotent');
+    const requestId = entry.arrive({ elapsedMs: 2_000, deadlineMs: 2_500 });
+    expect(entry.lastSendOf(requestId).remainingMs).toBe(500);
+    entry.pass(500);
+    expect(entry.refusalOf(requestId)).toEqual({ status: 504, reason: 'timedOut' });
+  });
+
+  it('is refused as not run where that was all of it', () => {
+    const entry = readyFor('nonIdempotent');
+    const requestId = entry.arrive({ elapsedMs: 10_000 });
+    expect(entry.sendsOf(requestId)).toHaveLength(0);
+    expect(entry.refusalOf(requestId)).toMatchObject({ status: 503, reason: 'deadlinePassed' });
+  });
+
   it('passes on no more time than its caller has left', () => {
     const entry = RoutingHarness.ready(
       newConfiguration({ routes: [newRoute({ kind: 'nonIdempotent' })] }),
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -86,6 +86,7 @@
         path: '/a/b',
         key: 'red-key',
         random: 0,
+        elapsedMs: 0,
         ...changes,
       },
     });
