While connections wait, start what is overdue in one turn of four

Callers' requests still waited up to 2.8 s in front of a busy entry: once what was read had been held for 150 ms, one request was started in every turn, so that a turn was as long as before and accepted no faster.

Change: four turns between two such starts; the rest is started as soon as nothing waits. Ruled out: more starts a turn, which keeps the wait where nobody sees it.

--- a/packages/router/src/reading/createIntake.ts
+++ b/packages/router/src/reading/createIntake.ts
@@ -4,6 +4,8 @@
 
 /** How long what was read waits for connections that are not accepted, in milliseconds. */
 const LONGEST_HOLD_MS = 150;
+/** So many turns pass between two starts of what waited that long while connections still wait. */
+const TURNS_BETWEEN_STARTS = 4;
 /** After so long the connections are read again before more is started, in milliseconds. */
 const SLICE_MS = 20;
 /** The end of a connection is read a turn after its last bytes. */
@@ -26,23 +28,23 @@
 export const createIntake = (reading: ReadingWatch, getNowMs: () => number): Intake => {
   const queue: Held[] = [];
   let turn = 0;
+  let startedTurn = 0;
 
-  const mayStart = (held: Held, started: number, sliceMs: number): boolean => {
+  const mayStart = (held: Held, sliceMs: number): boolean => {
     if (turn < held.fromTurn) {
       return false;
     }
     return reading.hasBacklog()
-      ? started === 0 && getNowMs() - held.readMs > LONGEST_HOLD_MS
+      ? turn >= startedTurn + TURNS_BETWEEN_STARTS && getNowMs() - held.readMs > LONGEST_HOLD_MS
       : sliceMs < SLICE_MS;
   };
 
   const work = (): void => {
     turn += 1;
     const beganMs = getNowMs();
-    let started = 0;
     for (let held = queue[0]; held !== undefined; held = queue[0]) {
       const isGone = held.isGone();
-      if (!isGone && !mayStart(held, started, getNowMs() - beganMs)) {
+      if (!isGone && !mayStart(held, getNowMs() - beganMs)) {
         setImmediate(work);
         return;
       }
@@ -51,7 +53,7 @@
       if (isGone) {
         held.drop();
       } else {
-        started += 1;
+        startedTurn = turn;
         held.start();
       }
     }
