Hand nothing to a target whose caller no longer waits, also in a late turn

Found while the cause of GONE was looked for elsewhere: whether a request's time is over was checked by the tick alone, and a send got 1 ms at least. An answer or a list that came between two ticks, or after a stall, handed out what had waited past its deadline or past the silence that its caller bears.

Change: the step that starts waiting requests passes over those; the next tick answers them. Second attempts go through the same step. Evidence: two tests of the scheduler that failed before (a place that becomes free at the deadline; a failed send at the end of the patience).

--- a/packages/routing/src/requests/startSend.ts
+++ b/packages/routing/src/requests/startSend.ts
@@ -46,7 +46,7 @@
       targetId: id,
       address,
       ...(request.team === undefined ? {} : { team: request.team }),
-      remainingMs: Math.max(1, Math.floor(request.deadlineAtMs - nowMs)),
+      remainingMs: Math.ceil(request.deadlineAtMs - nowMs),
       isWhole: !isStream(request.route),
     },
     {
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -9,6 +9,7 @@
 import type { Arrival } from '../requests/arrival.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
+import { isTimeOver } from '../requests/isTimeOver.js';
 import { newRequest } from '../requests/newRequest.js';
 import { putRequest } from '../requests/putRequest.js';
 import { refuse } from '../requests/refuse.js';
@@ -76,7 +77,7 @@
   }
   const placement = predictPlacement(state, request, nowMs);
   const beginsMs = nowMs + placement.waitMs + placement.prefillMs;
-  if (beginsMs > request.patienceAtMs || nowMs >= request.deadlineAtMs) {
+  if (beginsMs > request.patienceAtMs || isTimeOver(request, nowMs)) {
     return refuseVain(state, request, placement, nowMs);
   }
   const taken = putRequest(noteInflow(state, placement.own, nowMs), request);
--- a/packages/routing/src/steps/dispatchWaiting.ts
+++ b/packages/routing/src/steps/dispatchWaiting.ts
@@ -1,4 +1,5 @@
 import { sortWaiting } from '../queue/sortWaiting.js';
+import { isTimeOver } from '../requests/isTimeOver.js';
 import { startSend } from '../requests/startSend.js';
 import type { RoutingState } from '../routingState.js';
 import { chooseTarget } from '../targets/chooseTarget.js';
@@ -9,7 +10,7 @@
 import type { Outcome } from './outcome.js';
 import type { Scope } from './scope.js';
 
-/** Starts what waits for a service while its targets have room. */
+/** Starts what waits for a service while its targets have room; what nobody waits for is left to the next tick. */
 export const dispatchWaiting = (
   state: RoutingState,
   service: string,
@@ -23,6 +24,9 @@
   let outcome = keep(state);
   let candidates = getCandidates(state, service, nowMs);
   for (const { request } of sortWaiting(queue.values(), pace, nowMs)) {
+    if (isTimeOver(request, nowMs)) {
+      continue;
+    }
     const chosen = chooseTarget({
       request,
       candidates,
--- a/packages/routing/tests/sending.test.ts
+++ b/packages/routing/tests/sending.test.ts
@@ -185,6 +185,29 @@
     expect(entry.lastSendOf(second).remainingMs).toBeLessThanOrEqual(500);
   });
 
+  // Guards against GONE: a turn that came late hands out what waited beyond its time before the next round of checks.
+  it('is handed to no target, also before it got its answer', () => {
+    const entry = RoutingHarness.ready(
+      newConfiguration({ routes: [newRoute({ kind: 'nonIdempotent' })] }),
+      newTargets(1, { slots: 1 }),
+    );
+    const first = entry.arrive();
+    const second = entry.arrive({ deadlineMs: 2_000 });
+    entry.nowMs += 2_000;
+    entry.end(first);
+    expect(entry.sendsOf(second)).toHaveLength(0);
+    entry.pass(50);
+    expect(entry.refusalOf(second)).toMatchObject({ status: 503, reason: 'deadlinePassed' });
+  });
+
+  it('is not sent again once its caller has borne silence for too long', () => {
+    const entry = readyFor('idempotent');
+    const requestId = entry.arrive();
+    entry.nowMs += 3_000;
+    entry.fail(requestId);
+    expect(entry.sendsOf(requestId)).toHaveLength(1);
+  });
+
   it('frees its place once its caller has gone', () => {
     const entry = RoutingHarness.ready(newConfiguration(), newTargets(1, { slots: 1 }));
     const first = entry.arrive();
