--- a/packages/router/tests/lines.test.ts
+++ b/packages/router/tests/lines.test.ts
@@ -89,7 +89,7 @@
   const lines = createLineWriter({ ...NAMES, output: createBoundedOutput(pipe.descriptor) });
   const fault = 'x'.repeat(1_000);
   await using target = await startRawTarget();
-  await using router = await startTestRouter([target], lines);
+  await using router = await startTestRouter([target], { lines });
   for (let turn = 0; turn < 20; turn += 1) {
     for (let index = 0; index < 500; index += 1) {
       lines.write({ name: 'memoryMalformed', fields: { fault } });
--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -1,10 +1,11 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import type { RunningRouter } from '../src/index.js';
 import { RequestQueue } from './support/requestQueue.js';
 import { startRawTarget } from './support/startRawTarget.js';
+import { noLines } from './support/noLines.js';
 import { startTestRouter } from './support/startTestRouter.js';
 
 interface RawCaller {
@@ -216,6 +217,47 @@
   });
 });
 
+describe('a send that is decided right after a stall', () => {
+  // Guards against GONE: a place becomes free, and the ends of those that wait for one lie unread.
+  it('does not leave where its caller has left meanwhile', async () => {
+    await using target = await startRawTarget();
+    const queued: string[] = [];
+    await using router = await startTestRouter([target], {
+      slots: 2,
+      lines: {
+        ...noLines,
+        observe: (line) => {
+          if (line.name === 'requestQueued') {
+            queued.push(line.fields.route);
+          }
+        },
+      },
+    });
+    // Two connections are kept, and with one place left only one of them is in use.
+    const two = [1, 2].map(() => call(router, '/nonIdempotent/first', CLOSE));
+    const [one, other] = [await target.nextRequest(), await target.nextRequest()];
+    one.socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    other.socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    await Promise.all(two.map(({ whenEnded }) => whenEnded));
+    router.listTargets({ slots: 1 });
+    const running = call(router, '/nonIdempotent/running', CLOSE);
+    const { socket } = await target.nextRequest();
+    const waiting = call(router, '/idempotent/left');
+    await vi.waitUntil(() => queued.includes('idempotent'));
+    waiting.socket.destroy();
+    stallFor(STALL_MS);
+    router.listTargets({ slots: 2 });
+    await waiting.whenEnded;
+    const caller = call(router, '/nonIdempotent/stayed', CLOSE);
+    const request = await target.nextRequest();
+    expect(request.head).toContain('/nonIdempotent/stayed');
+    request.socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    expect(await caller.whenEnded).toMatch(/ok$/);
+    socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    expect(await running.whenEnded).toMatch(/ok$/);
+  });
+});
+
 describe('a cut answer', () => {
   it('is asked for again elsewhere where it may, and comes whole', async () => {
     const queue = new RequestQueue();
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -2,6 +2,7 @@
 import type { ListedTarget, Route, RoutingConfiguration } from '@parsleyhall/routing';
 import { startRouter } from '../../src/index.js';
 import type { CallCodec, RouterInputs, LineWriter, RunningRouter } from '../../src/index.js';
+import { noLines } from './noLines.js';
 import type { RawTarget } from './rawTarget.js';
 
 const readOne = (headers: IncomingHttpHeaders, name: string): string | undefined => {
@@ -9,6 +10,13 @@
   return typeof value === 'string' ? value : undefined;
 };
 
+interface TestRouter extends RunningRouter {
+  /** Lists all targets anew, with so many slots each. */
+  readonly listTargets: (listed: { readonly slots: number }) => void;
+}
+
+const SLOTS = 10;
+
 const codec: CallCodec = {
   readCall: (headers) => {
     const attemptId = readOne(headers, 'attempt');
@@ -34,8 +42,6 @@
   },
 };
 
-const noLines: LineWriter = { write: () => undefined, observe: () => undefined };
-
 const newRoute = (kind: Route['kind']): Route => ({
   name: kind,
   host: '127.0.0.1',
@@ -63,20 +69,20 @@
   },
 };
 
-const toListed = ({ address }: RawTarget): ListedTarget => ({
+const toListed = ({ address }: RawTarget, slots: number): ListedTarget => ({
   id: address,
   service: 'one',
   address,
   dataCentre: 'here',
-  slots: 10,
+  slots,
   isLeaving: false,
 });
 
 /** Starts a router on loopback in front of these targets, with no platform behind it. */
 export const startTestRouter = async (
   targets: readonly RawTarget[],
-  lines: LineWriter = noLines,
-): Promise<RunningRouter> => {
+  { lines = noLines, slots = SLOTS }: { readonly lines?: LineWriter; readonly slots?: number } = {},
+): Promise<TestRouter> => {
   let inputs: RouterInputs | undefined;
   const router = await startRouter({
     settings: {
@@ -106,6 +112,9 @@
     },
   });
   inputs?.takeConfiguration(configuration);
-  inputs?.takeTargets(targets.map(toListed));
-  return router;
+  const listTargets = (listed: { readonly slots: number }): void => {
+    inputs?.takeTargets(targets.map((target) => toListed(target, listed.slots)));
+  };
+  listTargets({ slots });
+  return { ...router, listTargets };
 };
