Send nothing new to a target that says in its answers that it leaves

Entries looked at the list alone, which lags, and which some workers never tell.

The scheduler keeps it by the target's id, apart from the list, so that an entry that lapses and comes back does not void it; a new start of the target under the same id does (the list's moment of start, decoded as well). An answer that belongs to another request, or of another worker than was named, says nothing. A line tells it.

--- a/packages/daemon/src/routerShell/plainCodec.ts
+++ b/packages/daemon/src/routerShell/plainCodec.ts
@@ -41,5 +41,6 @@
     ...defineField('attemptId', readText(headers, REQUEST_ID)),
     isSealed: true,
     isNotRun: false,
+    isLeaving: false,
   }),
 };
--- a/packages/router/src/calls/answerHeaders.ts
+++ b/packages/router/src/calls/answerHeaders.ts
@@ -5,4 +5,6 @@
   readonly isSealed: boolean;
   /** The target says that it has not run the request. */
   readonly isNotRun: boolean;
+  /** The target says that it takes no new work and will go away. */
+  readonly isLeaving: boolean;
 }
--- a/packages/router/src/calls/createCallTable.ts
+++ b/packages/router/src/calls/createCallTable.ts
@@ -67,10 +67,10 @@
     let isOver = false;
     return {
       began: (status, headers) => {
-        const { attemptId, isSealed, isNotRun } = codec.readAnswer(status, headers);
+        const { attemptId, ...said } = codec.readAnswer(status, headers);
         const isForeign =
           attemptId !== call.caller.headers.attemptId || headers['content-encoding'] !== undefined;
-        const head = { status, isSealed, isNotRun, isForeign };
+        const head = { ...said, status, isForeign };
         dispatch({ type: 'answerBegan', requestId, sendId, head });
         return call.sendId === sendId;
       },
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -38,6 +38,7 @@
       ...(attemptId === undefined ? {} : { attemptId }),
       isSealed: headers.seal !== undefined,
       isNotRun: headers['not-run'] !== undefined,
+      isLeaving: headers.leaving !== undefined,
     };
   },
 };
--- a/packages/routing/src/answerHead.ts
+++ b/packages/routing/src/answerHead.ts
@@ -7,4 +7,6 @@
   readonly isNotRun: boolean;
   /** It belongs to another request, or its body is not the target's own. */
   readonly isForeign: boolean;
+  /** The target says that it takes no new work and will go away. */
+  readonly isLeaving: boolean;
 }
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -6,6 +6,7 @@
 export const newRoutingState = (settings: RoutingSettings, nowMs: number): RoutingState => ({
   settings,
   targets: Map(),
+  wishes: Map(),
   requests: Map(),
   waiting: Map(),
   peers: Map(),
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -98,6 +98,11 @@
     fields: ['target', 'service', 'address'],
     optional: [],
   },
+  targetLeaves: {
+    text: 'a target said in an answer that it goes away; it gets nothing new',
+    fields: ['target', 'service'],
+    optional: [],
+  },
   targetRests: {
     text: 'a target gets no new work for a while after a failed send',
     fields: ['target', 'service', 'restMs', 'failureShare'],
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -9,6 +9,7 @@
 import type { RetryCount } from './retries/retryCount.js';
 import type { ServicePace } from './targets/servicePace.js';
 import type { Target } from './targets/target.js';
+import type { TargetWish } from './targets/targetWish.js';
 
 /** All that an entry's scheduler knows. */
 export interface RoutingState {
@@ -22,6 +23,8 @@
   readonly targetsConfirmedMs?: number;
   /** By target id. */
   readonly targets: Map<string, Target>;
+  /** What targets said of themselves in their answers, by target id, also of those that are not listed now. */
+  readonly wishes: Map<string, TargetWish>;
   readonly requests: Map<number, TrackedRequest>;
   /** Requests without a send under way, by service. */
   readonly waiting: Map<string, Map<number, TrackedRequest>>;
--- a/packages/routing/src/steps/beginAnswer.ts
+++ b/packages/routing/src/steps/beginAnswer.ts
@@ -8,6 +8,7 @@
 import { keep } from './keep.js';
 import type { Outcome } from './outcome.js';
 import type { Scope } from './scope.js';
+import { noteWish } from './noteWish.js';
 import { restTarget } from './restTarget.js';
 import { sendAgain } from './sendAgain.js';
 
@@ -21,8 +22,7 @@
   scope: Scope,
 ): boolean => head.status >= FIRST_SERVER_ERROR && mayRunAgain(state, request, scope);
 
-/** Judges the head of an answer: hands it on, or sends the request elsewhere. */
-export const beginAnswer = (
+const judge = (
   state: RoutingState,
   request: TrackedRequest,
   head: AnswerHead,
@@ -54,3 +54,16 @@
   };
   return keep(putRequest(state, began));
 };
+
+/** Judges the head of an answer: hands it on, or sends the request elsewhere. */
+export const beginAnswer = (
+  state: RoutingState,
+  request: TrackedRequest,
+  head: AnswerHead,
+  scope: Scope,
+): Outcome =>
+  request.send === undefined
+    ? keep(state)
+    : andThen(noteWish(state, request.send.targetId, head, scope.nowMs), (current) =>
+        judge(current, request, head, scope),
+      );
--- a/packages/routing/src/steps/listTargets.ts
+++ b/packages/routing/src/steps/listTargets.ts
@@ -11,8 +11,12 @@
 import type { Outcome } from './outcome.js';
 import type { Scope } from './scope.js';
 
+/** What a target said holds so long after it was listed for the last time; entries come and go with outages of the list. */
+const WISH_KEPT_MS = 600_000;
+
 const isSame = (left: ListedTarget, right: ListedTarget | undefined): boolean =>
   left.service === right?.service &&
+  left.startedAtMs === right.startedAtMs &&
   left.address === right.address &&
   left.isLeaving === right.isLeaving;
 
@@ -46,7 +50,11 @@
       return [listed.id, target] as const;
     }),
   );
-  const told = keep({ ...state, targets: next }, ...describeChanges(state.targets, next));
+  const wishes = state.wishes.filter(
+    ({ saidMs }, id) => next.has(id) || scope.nowMs - saidMs < WISH_KEPT_MS,
+  );
+  const changes = describeChanges(state.targets, next);
+  const told = keep({ ...state, targets: next, wishes }, ...changes);
   return andThen(told, (listed) =>
     forEach(listed, listed.waiting.keys(), (current, service) =>
       dispatchWaiting(current, service, scope),
--- a/packages/routing/src/targets/getCandidates.ts
+++ b/packages/routing/src/targets/getCandidates.ts
@@ -1,6 +1,7 @@
 import { isPeerHeard } from '../peers/isPeerHeard.js';
 import type { RoutingState } from '../routingState.js';
 import type { Candidate } from './candidate.js';
+import { isWelcome } from './isWelcome.js';
 
 /** The targets of a service that take new work, with what all entries that are heard have there. */
 export const getCandidates = (
@@ -10,7 +11,7 @@
 ): readonly Candidate[] => {
   const peers = [...state.peers.values()].filter((peer) => isPeerHeard(peer, nowMs));
   return [...state.targets.values()]
-    .filter(({ listed }) => listed.service === service && !listed.isLeaving)
+    .filter(({ listed }) => listed.service === service && isWelcome(state, listed))
     .map((target) => ({
       target,
       totalInFlight: peers.reduce(
--- a/packages/routing/src/targets/listedTarget.ts
+++ b/packages/routing/src/targets/listedTarget.ts
@@ -1,7 +1,9 @@
 /** A target as the platform's list has it. */
 export interface ListedTarget {
-  /** New with each start of the target. */
+  /** Mostly new with each start of the target. */
   readonly id: string;
+  /** When it started, in milliseconds since 1970 by its own clock; undefined where the list does not say. */
+  readonly startedAtMs?: number;
   readonly service: string;
   /** IP address and port. */
   readonly address: string;
--- a/packages/routing/tests/support/goodHead.ts
+++ b/packages/routing/tests/support/goodHead.ts
@@ -6,4 +6,5 @@
   isSealed: true,
   isNotRun: false,
   isForeign: false,
+  isLeaving: false,
 };
--- a/packages/routing/tests/support/notRunHead.ts
+++ b/packages/routing/tests/support/notRunHead.ts
@@ -6,4 +6,5 @@
   isSealed: false,
   isNotRun: true,
   isForeign: false,
+  isLeaving: false,
 };
