Send nothing to a target before the time that it has named when turning a request away

Entries let a target rest after a failed send, but sent to it where all others rested too, and never for longer than 3 s.

Where no other is left, a request waits if its caller still does then, and is else refused as not run with that time to come back. A line tells it.

--- a/packages/router/src/calls/answerHeaders.ts
+++ b/packages/router/src/calls/answerHeaders.ts
@@ -7,4 +7,6 @@
   readonly isNotRun: boolean;
   /** The target says that it takes no new work and will go away. */
   readonly isLeaving: boolean;
+  /** The target turned the request away and wants nothing of this entry for so long, in milliseconds. */
+  readonly restMs?: number;
 }
--- a/packages/routing/src/answerHead.ts
+++ b/packages/routing/src/answerHead.ts
@@ -9,4 +9,6 @@
   readonly isForeign: boolean;
   /** The target says that it takes no new work and will go away. */
   readonly isLeaving: boolean;
+  /** The target turned the request away and wants nothing of this entry for so long, in milliseconds. */
+  readonly restMs?: number;
 }
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -103,6 +103,11 @@
     fields: ['target', 'service'],
     optional: [],
   },
+  targetRefuses: {
+    text: 'a target turned a request away and wants nothing of this entry for a while',
+    fields: ['target', 'service', 'restMs'],
+    optional: [],
+  },
   targetRests: {
     text: 'a target gets no new work for a while after a failed send',
     fields: ['target', 'service', 'restMs', 'failureShare'],
--- a/packages/routing/src/steps/arrive.ts
+++ b/packages/routing/src/steps/arrive.ts
@@ -13,10 +13,12 @@
 import { newRequest } from '../requests/newRequest.js';
 import { putRequest } from '../requests/putRequest.js';
 import { refuse } from '../requests/refuse.js';
+import type { Refusal } from '../requests/refusal.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { noteSend } from '../retries/noteSend.js';
 import type { RoutingState } from '../routingState.js';
 import { getCandidates } from '../targets/getCandidates.js';
+import { getReturnMs } from '../targets/getReturnMs.js';
 import { admit } from './admit.js';
 import { andThen } from './andThen.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
@@ -67,13 +69,31 @@
   return isWaiting ? keep(state, line) : keep(state);
 };
 
+/** Why no target takes a request while its caller waits; undefined where one does, or will. */
+const getAbsence = (
+  state: RoutingState,
+  { service, patienceAtMs }: TrackedRequest,
+  nowMs: number,
+): Refusal | undefined => {
+  if (getCandidates(state, service, nowMs).length > 0) {
+    return undefined;
+  }
+  const returnMs = getReturnMs(state, service, nowMs);
+  if (returnMs === undefined) {
+    return { status: 503, reason: 'noTarget', retryAfterMs: NO_TARGET_RETRY_MS };
+  }
+  return nowMs + returnMs < patienceAtMs
+    ? undefined
+    : { status: 503, reason: 'refusedByTargets', retryAfterMs: Math.ceil(returnMs) };
+};
+
 /** Lets a request wait and starts it if there is room, or refuses it if it would wait in vain. */
 const queue = (state: RoutingState, request: TrackedRequest, scope: Scope): Outcome => {
   const { nowMs } = scope;
   const { service } = request;
-  if (getCandidates(state, service, nowMs).length === 0) {
-    const retryAfterMs = NO_TARGET_RETRY_MS;
-    return refuse(state, request, { status: 503, reason: 'noTarget', retryAfterMs }, nowMs);
+  const absence = getAbsence(state, request, nowMs);
+  if (absence !== undefined) {
+    return refuse(state, request, absence, nowMs);
   }
   const placement = predictPlacement(state, request, nowMs);
   const beginsMs = nowMs + placement.waitMs + placement.prefillMs;
--- a/packages/routing/src/steps/noteWish.ts
+++ b/packages/routing/src/steps/noteWish.ts
@@ -1,30 +1,47 @@
 import { defineField } from '@parsleyhall/common';
 import type { AnswerHead } from '../answerHead.js';
+import type { Observation } from '../observations/observation.js';
 import type { RoutingState } from '../routingState.js';
+import { getWish } from '../targets/getWish.js';
 import type { TargetWish } from '../targets/targetWish.js';
 import { keep } from './keep.js';
 import type { Outcome } from './outcome.js';
 
+const describeChange = (
+  target: string,
+  service: string,
+  known: TargetWish | undefined,
+  { isLeaving, restMs }: AnswerHead,
+): readonly Observation[] => [
+  ...(isLeaving && known?.isLeaving !== true
+    ? [{ type: 'observe', name: 'targetLeaves', fields: { target, service } } as const]
+    : []),
+  ...(restMs === undefined
+    ? []
+    : [{ type: 'observe', name: 'targetRefuses', fields: { target, service, restMs } } as const]),
+];
+
 /** Takes over what a target says of itself in the head of its answer. */
 export const noteWish = (
   state: RoutingState,
   targetId: string,
-  { isForeign, isLeaving }: AnswerHead,
+  head: AnswerHead,
   nowMs: number,
 ): Outcome => {
   const listed = state.targets.get(targetId)?.listed;
-  if (isForeign || !isLeaving || listed === undefined) {
+  const { isForeign, isLeaving, restMs } = head;
+  if (listed === undefined || isForeign || (!isLeaving && restMs === undefined)) {
     return keep(state);
   }
-  const { startedAtMs, service } = listed;
-  const known = state.wishes.get(targetId);
+  const known = getWish(state, listed);
   const wish: TargetWish = {
-    ...defineField('startedAtMs', startedAtMs),
-    isLeaving,
+    ...defineField('startedAtMs', listed.startedAtMs),
+    isLeaving: isLeaving || known?.isLeaving === true,
+    refusesUntilMs: Math.max(known?.refusesUntilMs ?? 0, nowMs + (restMs ?? 0)),
     saidMs: nowMs,
   };
-  const next = { ...state, wishes: state.wishes.set(targetId, wish) };
-  return known?.isLeaving === true && known.startedAtMs === startedAtMs
-    ? keep(next)
-    : keep(next, { type: 'observe', name: 'targetLeaves', fields: { target: targetId, service } });
+  return keep(
+    { ...state, wishes: state.wishes.set(targetId, wish) },
+    ...describeChange(targetId, listed.service, known, head),
+  );
 };
--- a/packages/routing/src/targets/getCandidates.ts
+++ b/packages/routing/src/targets/getCandidates.ts
@@ -11,7 +11,7 @@
 ): readonly Candidate[] => {
   const peers = [...state.peers.values()].filter((peer) => isPeerHeard(peer, nowMs));
   return [...state.targets.values()]
-    .filter(({ listed }) => listed.service === service && isWelcome(state, listed))
+    .filter(({ listed }) => listed.service === service && isWelcome(state, listed, nowMs))
     .map((target) => ({
       target,
       totalInFlight: peers.reduce(
--- a/packages/routing/src/targets/targetWish.ts
+++ b/packages/routing/src/targets/targetWish.ts
@@ -4,6 +4,8 @@
   readonly startedAtMs?: number;
   /** It takes no new work and will go away. */
   readonly isLeaving: boolean;
+  /** It wants nothing of this entry before that moment, in milliseconds of the steady clock. */
+  readonly refusesUntilMs: number;
   /** When it was said last, in milliseconds of the steady clock. */
   readonly saidMs: number;
 }
