Leave a target that sends bytes without end that are no answer

Heads were bounded already (by the client library, and as answers without a signature); an event that never ends was held whole, and the length of a piece that never ends was read on until the route's time-out.

Change: an event longer than 1 MiB is taken for no event; a connection on which 256 KiB bring an answer no further is ended. Callers get the final answer that a broken send brings.

Evidence: six kinds of such bytes, each poured until the connection ends. Ruled out: bytes after an answer, which end their connection already (router.test), and a signed body without end of a plain answer, which is handed on as it comes and ends with its caller's deadline.

--- a/packages/router/src/calls/createStreamSink.ts
+++ b/packages/router/src/calls/createStreamSink.ts
@@ -4,6 +4,8 @@
 import type { SinkEvents } from './sinkEvents.js';
 
 const WENT_ON_PERIOD_MS = 100;
+/** An event that is longer is taken for no event. */
+const MAX_EVENT_BYTES = 1_048_576;
 
 const isWholeNumber = (value: string): boolean => /^\d+$/.test(value);
 
@@ -51,6 +53,9 @@
         tellWentOn();
       }
     }
+    if (splitter.getRest() > MAX_EVENT_BYTES) {
+      events.failed('malformed');
+    }
     return mayGoOn;
   };
 
--- a/packages/router/src/targets/createTargetCaller.ts
+++ b/packages/router/src/targets/createTargetCaller.ts
@@ -116,11 +116,13 @@
         if (isOver) {
           return;
         }
+        connection.noteProgress();
         hasLength = isFramed(responseHeaders);
         mayKeep = hasLength && !isClosing(responseHeaders);
         sink.takeHead(status, responseHeaders, readRawHeaders(started), hasLength);
       },
       onResponseData: (started, chunk) => {
+        connection.noteProgress();
         if (!isOver && !sink.takeBytes(chunk)) {
           started.pause();
         }
--- a/packages/router/src/targets/openConnection.ts
+++ b/packages/router/src/targets/openConnection.ts
@@ -10,6 +10,8 @@
 const KEEP_ALIVE_MS = 4_000;
 const PROBE_AFTER_MS = 1_000;
 const MAX_HEADER_BYTES = 65_536;
+/** What comes beyond this without bringing an answer further is no answer. */
+const MAX_VAIN_BYTES = 262_144;
 
 const connectTo = (address: string): Promise<Socket> =>
   new Promise((resolve, reject) => {
@@ -32,7 +34,19 @@
 /** Prepares a connection; it is made with the first request. */
 export const openConnection = (address: string): TargetConnection => {
   let wasReset = false;
+  let progressBytes = 0;
   let opened: Socket | undefined;
+  const watchVainBytes = (socket: Socket): void => {
+    // The client reads in a listener of this kind too; what it makes of the bytes is noted by then.
+    setImmediate(() => {
+      socket.on('readable', () => {
+        if (socket.bytesRead - progressBytes > MAX_VAIN_BYTES) {
+          socket.destroy(new Error(`${MAX_VAIN_BYTES} bytes brought no answer further`));
+        }
+      });
+    });
+  };
+
   const client = new Client(`http://${address}`, {
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
@@ -43,6 +57,7 @@
       connectTo(address).then(
         (socket) => {
           opened = socket;
+          watchVainBytes(socket);
           // The client takes a reset of an answer without a length for its end, so resets are noted here first.
           socket.prependListener('error', () => {
             wasReset = true;
@@ -57,6 +72,9 @@
   });
   return {
     client,
+    noteProgress: () => {
+      progressBytes = opened?.bytesRead ?? 0;
+    },
     checkReset: (take) => {
       if (wasReset || opened === undefined || opened.destroyed) {
         take(wasReset);
--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -132,6 +132,43 @@
   });
 });
 
+// Guards against MIXED and against memory that grows: a target in trouble that sends bytes until it is left.
+describe('bytes without end that are no answer', () => {
+  const pour = (socket: Socket, bytes: string): Promise<void> =>
+    new Promise((resolve) => {
+      const write = (): void => {
+        while (!socket.destroyed && socket.write(bytes));
+      };
+      socket.on('drain', write);
+      socket.once('close', () => {
+        resolve();
+      });
+      write();
+    });
+  /** Buffers on the way hold a few million bytes. */
+  const MOST_BYTES = 33_554_432;
+  const FILLER = 'x'.repeat(16_384);
+  const INTERIM = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'.repeat(100);
+
+  it.each([
+    ['before a head', '', FILLER],
+    ['in a head', `HTTP/1.1 200 OK\r\nAttempt: a1\r\nFiller: `, FILLER],
+    ['as heads of no final answer', '', INTERIM],
+    ['in an event that never ends', STREAM_HEAD, toChunk(`data: ${FILLER}`)],
+    ['in the length of a piece', STREAM_HEAD, `1;${FILLER}`],
+    ['in a body that bears no signature', `HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\n`, FILLER],
+  ])('%s end their connection, and the caller is told', async (_, start, filler) => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = call(router, '/stream/x', CLOSE);
+    const { socket } = await target.nextRequest();
+    socket.write(start);
+    await pour(socket, filler);
+    expect(socket.bytesWritten).toBeLessThan(MOST_BYTES);
+    expect(await caller.whenEnded).not.toContain('\r\n0\r\n');
+  });
+});
+
 describe('bytes that belong to no request', () => {
   it('end their connection and reach nobody', async () => {
     await using target = await startRawTarget();
