A soak of real processes under random faults, judged by callers and targets

Callers keep connections open, open new ones, and leave. It checks what callers and targets saw: at most once, not run is true, whole own answers, nothing for callers that left over half a second ago, no cut by a planned stop, service at the end. Its own delay is laid to nobody. It ends only what it started.

--- /dev/null
+++ b/packages/soak/src/callers/sendRequest.ts
@@ -0,0 +1,59 @@
+import { request as startRequest } from 'node:http';
+import type { Agent } from 'node:http';
+import type { RequestKind } from '../history/requestKind.js';
+import type { SentRequest } from '../history/sentRequest.js';
+import { getNowMs } from '../system/getNowMs.js';
+
+const DEADLINE_MS = 4_000;
+
+/** Sends a request and notes what becomes of it; its caller may leave before the answer is whole. */
+export const sendRequest = ({
+  id,
+  kind,
+  entry,
+  port,
+  agent,
+  leaveAfterMs,
+}: {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly entry: number;
+  readonly port: number;
+  /** Undefined for a connection of its own. */
+  readonly agent: Agent | undefined;
+  readonly leaveAfterMs: number | undefined;
+}): { readonly sent: SentRequest; readonly whenOver: Promise<void> } => {
+  const sent: SentRequest = { id, kind, entry, sentMs: getNowMs(), body: '', isWhole: false };
+  const request = startRequest({
+    host: '127.0.0.1',
+    port,
+    path: `/${kind}/x`,
+    headers: { 'x-request-id': id, 'x-deadline-ms': String(DEADLINE_MS) },
+    agent: agent ?? false,
+  });
+  const leaving = setTimeout(() => {
+    sent.leftMs = getNowMs();
+    request.destroy();
+  }, leaveAfterMs ?? DEADLINE_MS);
+  request.on('error', () => undefined);
+  request.on('response', (response) => {
+    sent.status = response.statusCode ?? 0;
+    response.setEncoding('latin1');
+    response.on('error', () => undefined);
+    response.on('data', (text: string) => {
+      sent.body += text;
+    });
+    response.on('end', () => {
+      sent.isWhole = true;
+    });
+  });
+  const whenOver = new Promise<void>((resolve) => {
+    request.once('close', () => {
+      clearTimeout(leaving);
+      sent.endedMs = getNowMs();
+      resolve();
+    });
+  });
+  request.end();
+  return { sent, whenOver };
+};
--- /dev/null
+++ b/packages/soak/src/callers/startCallers.ts
@@ -0,0 +1,75 @@
+import { Agent } from 'node:http';
+import type { History } from '../history/history.js';
+import type { RequestKind } from '../history/requestKind.js';
+import type { SoakEntry } from '../system/soakEntry.js';
+import { sendRequest } from './sendRequest.js';
+
+const PERIOD_MS = 20;
+const KINDS: readonly RequestKind[] = ['idempotent', 'nonIdempotent', 'stream'];
+const LEAVING_SHARE = 0.3;
+const LONGEST_STAY_MS = 250;
+const KEPT_SHARE = 0.4;
+
+interface Callers {
+  /** How many times as often as usual they come. */
+  times: number;
+  /** Sends no more and waits for what is under way. */
+  readonly end: () => Promise<void>;
+}
+
+/** Starts callers that keep coming; `perSecond` at all entries together. */
+export const startCallers = ({
+  entries,
+  perSecond,
+  history,
+  random,
+}: {
+  readonly entries: readonly SoakEntry[];
+  readonly perSecond: number;
+  readonly history: History;
+  readonly random: () => number;
+}): Callers => {
+  const agents = entries.map(() => new Agent({ keepAlive: true }));
+  const under = new Set<Promise<void>>();
+  let count = 0;
+  let due = 0;
+
+  const send = (): void => {
+    const taking = entries.map((_, index) => index).filter((index) => entries[index]?.isTaking());
+    const entry = taking[Math.floor(random() * taking.length)];
+    const port = entry === undefined ? undefined : entries[entry]?.port;
+    if (entry === undefined || port === undefined) {
+      return;
+    }
+    count += 1;
+    const { sent, whenOver } = sendRequest({
+      id: `r${count}`,
+      kind: KINDS[Math.floor(random() * KINDS.length)] ?? 'idempotent',
+      entry,
+      port,
+      agent: random() < KEPT_SHARE ? agents[entry] : undefined,
+      leaveAfterMs: random() < LEAVING_SHARE ? random() * LONGEST_STAY_MS : undefined,
+    });
+    history.requests.push(sent);
+    under.add(whenOver);
+    void whenOver.then(() => under.delete(whenOver));
+  };
+
+  const callers: Callers = {
+    times: 1,
+    end: async () => {
+      clearInterval(coming);
+      await Promise.all(under);
+      agents.forEach((agent) => {
+        agent.destroy();
+      });
+    },
+  };
+  const coming = setInterval(() => {
+    due += (perSecond * callers.times * PERIOD_MS) / 1_000;
+    for (; due >= 1; due -= 1) {
+      send();
+    }
+  }, PERIOD_MS);
+  return callers;
+};
--- /dev/null
+++ b/packages/soak/src/history/requestKind.ts
@@ -0,0 +1,2 @@
+/** What may be repeated of a request. */
+export type RequestKind = 'idempotent' | 'nonIdempotent' | 'stream';
--- /dev/null
+++ b/packages/soak/src/system/getNowMs.ts
@@ -0,0 +1,2 @@
+/** The soak's steady clock, in milliseconds. */
+export const getNowMs = (): number => performance.now();
--- /dev/null
+++ b/packages/soak/src/system/soakTarget.ts
@@ -0,0 +1,8 @@
+/** A target of the soak. */
+export interface SoakTarget extends AsyncDisposable {
+  readonly name: string;
+  readonly address: string;
+  /** It resets part of its requests. */
+  areResetsOn: boolean;
+  isSlow: boolean;
+}
