Soak: paths that are late, silent or reset; its own delay measured where it arises

It now uses the routers' watch for each of its servers and paths. Entries have loopback addresses of their own now.

Change besides: a path before each target that is late, silent or reset for a while, drawn apart from the other faults.

The program of the users' platform is the same byte for byte.

--- a/packages/soak/src/callers/sendRequest.ts
+++ b/packages/soak/src/callers/sendRequest.ts
@@ -11,6 +11,7 @@
   id,
   kind,
   entry,
+  ip,
   port,
   agent,
   leaveAfterMs,
@@ -18,6 +19,7 @@
   readonly id: string;
   readonly kind: RequestKind;
   readonly entry: number;
+  readonly ip: string;
   readonly port: number;
   /** Undefined for a connection of its own. */
   readonly agent: Agent | undefined;
@@ -25,10 +27,10 @@
 }): { readonly sent: SentRequest; readonly whenOver: Promise<void> } => {
   const sent: SentRequest = { id, kind, entry, sentMs: getNowMs(), body: '', isWhole: false };
   const request = startRequest({
-    host: '127.0.0.1',
+    host: ip,
     port,
     path: `/${kind}/x`,
-    headers: { 'x-request-id': id, 'x-deadline-ms': String(DEADLINE_MS) },
+    headers: { host: '127.0.0.1', 'x-request-id': id, 'x-deadline-ms': String(DEADLINE_MS) },
     agent: agent ?? false,
   });
   const leaving = setTimeout(() => {
--- a/packages/soak/src/callers/startCallers.ts
+++ b/packages/soak/src/callers/startCallers.ts
@@ -37,15 +37,17 @@
   const send = (): void => {
     const taking = entries.map((_, index) => index).filter((index) => entries[index]?.isTaking());
     const entry = taking[Math.floor(random() * taking.length)];
-    const port = entry === undefined ? undefined : entries[entry]?.port;
-    if (entry === undefined || port === undefined) {
+    const address = entry === undefined ? undefined : entries[entry];
+    if (entry === undefined || address === undefined) {
       return;
     }
+    const { ip, port } = address;
     count += 1;
     const { sent, whenOver } = sendRequest({
       id: `r${count}`,
       kind: KINDS[Math.floor(random() * KINDS.length)] ?? 'idempotent',
       entry,
+      ip,
       port,
       agent: random() < KEPT_SHARE ? agents[entry] : undefined,
       leaveAfterMs: random() < LEAVING_SHARE ? random() * LONGEST_STAY_MS : undefined,
--- a/packages/soak/src/checks/findBreaches.ts
+++ b/packages/soak/src/checks/findBreaches.ts
@@ -43,8 +43,8 @@
   { id, entry, sentMs, leftMs }: SentRequest,
   runs: readonly TargetRun[],
 ): readonly Breach[] =>
-  runs.flatMap(({ earliestMs }) => {
-    const isLate = leftMs !== undefined && earliestMs - leftMs > GONE_MS;
+  runs.flatMap(({ earliestMs, isPathHarmed }) => {
+    const isLate = leftMs !== undefined && !isPathHarmed && earliestMs - leftMs > GONE_MS;
     if (!isLate || isDisturbed(history, entry, { fromMs: sentMs, untilMs: earliestMs })) {
       return [];
     }
@@ -66,7 +66,7 @@
             request.sentMs < fromMs &&
             request.endedMs >= fromMs &&
             request.endedMs <= untilMs &&
-            runs.get(request.id)?.every(({ isFaulty }) => !isFaulty) === true,
+            runs.get(request.id)?.every((run) => !run.isFaulty && !run.isPathHarmed) === true,
         )
         .map(({ id }) => ({
           promise: 'cutByStop' as const,
--- a/packages/soak/src/history/targetRun.ts
+++ b/packages/soak/src/history/targetRun.ts
@@ -6,4 +6,6 @@
   readonly earliestMs: number;
   /** The target itself cut it or was slow. */
   readonly isFaulty: boolean;
+  /** The path to the target was harmed then, or shortly before. */
+  readonly isPathHarmed: boolean;
 }
--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -1,3 +1,5 @@
+import type { PathState } from '../system/pathState.js';
+
 /** One thing that goes wrong, at a moment of the run in milliseconds. */
 export type Fault =
   | { readonly kind: 'kill' | 'stop'; readonly atMs: number; readonly entry: number }
@@ -33,4 +35,11 @@
       readonly atMs: number;
       readonly forMs: number;
       readonly times: number;
+    }
+  | {
+      readonly kind: 'path';
+      readonly atMs: number;
+      readonly target: number;
+      readonly state: Exclude<PathState, 'open'>;
+      readonly forMs: number;
     };
--- a/packages/soak/src/plan/newPlan.ts
+++ b/packages/soak/src/plan/newPlan.ts
@@ -3,6 +3,10 @@
 import type { Fault } from './fault.js';
 
 const KINDS = ['kill', 'stop', 'pause', 'starve', 'resets', 'slow', 'burst', 'roll'] as const;
+const PATH_STATES = ['delayed', 'silent', 'reset'] as const;
+const MOST_PATHS = 2;
+/** Sets the draws of paths apart from the others', so that a seed keeps these. */
+const PATHS_SEED = 0x5bd1e995;
 const FEWEST_FAULTS = 3;
 const MOST_FAULTS = 6;
 const SHORTEST_MS = 300;
@@ -23,8 +27,12 @@
   readonly targets: number;
   readonly faultsMs: number;
 }): readonly Fault[] => {
-  const generator = xoroshiro128plus(seed);
-  const draw = (low: number, high: number): number => uniformInt(generator, low, high);
+  const newDraw = (own: number) => {
+    const generator = xoroshiro128plus(own);
+    return (low: number, high: number): number => uniformInt(generator, low, high);
+  };
+  const draw = newDraw(seed);
+  const drawOfPaths = newDraw(seed ^ PATHS_SEED);
 
   const drawFault = (): readonly Fault[] => {
     const atMs = draw(0, faultsMs);
@@ -55,7 +63,16 @@
     }
   };
 
-  return Array.from({ length: draw(FEWEST_FAULTS, MOST_FAULTS) }, drawFault)
-    .flat()
-    .sort((left, right) => left.atMs - right.atMs);
+  const drawPath = (): Fault => ({
+    kind: 'path',
+    atMs: drawOfPaths(0, faultsMs),
+    forMs: drawOfPaths(SHORTEST_MS, LONGEST_MS),
+    target: drawOfPaths(0, targets - 1),
+    state: PATH_STATES[drawOfPaths(0, PATH_STATES.length - 1)] ?? 'silent',
+  });
+
+  return [
+    ...Array.from({ length: draw(FEWEST_FAULTS, MOST_FAULTS) }, drawFault).flat(),
+    ...Array.from({ length: drawOfPaths(0, MOST_PATHS) }, drawPath),
+  ].sort((left, right) => left.atMs - right.atMs);
 };
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -7,7 +7,6 @@
 import type { History } from './history/history.js';
 import type { Fault } from './plan/fault.js';
 import { newPlan } from './plan/newPlan.js';
-import { createLoopClock } from './system/createLoopClock.js';
 import { findFreePort } from './system/findFreePort.js';
 import { getNowMs } from './system/getNowMs.js';
 import { newRoutingDocument } from './system/newRoutingDocument.js';
@@ -42,14 +41,12 @@
   const history: History = { requests: [], runs: [], disturbances: [], calmFromMs: Infinity };
   const generator = xoroshiro128plus(seed);
   const random = (): number => uniformFloat64(generator);
-  using clock = createLoopClock();
 
   const targets: readonly SoakTarget[] = await Promise.all(
     Array.from({ length: targetCount }, (_, index) =>
       startSoakTarget({
         name: `target-${index}`,
         note: (run) => history.runs.push(run),
-        getEarliestMs: clock.getEarliestMs,
         random,
       }),
     ),
@@ -57,7 +54,7 @@
   const routing = join(directory, 'routing.json');
   writeFileSync(routing, JSON.stringify(newRoutingDocument(targets)));
   const ips = Array.from({ length: entryCount }, (_, index) => `127.0.0.${index + 2}`);
-  const peers = { ips, port: await findFreePort() };
+  const peers = { ips, port: await findFreePort('127.0.0.1') };
   const entries: readonly SoakEntry[] = await Promise.all(
     ips.map((_, index) =>
       startSoakEntry({ index, directory, routing, peers, disturbances: history.disturbances }),
@@ -92,6 +89,11 @@
         return trouble(targets[fault.target], 'areResetsOn', fault.forMs);
       case 'slow':
         return trouble(targets[fault.target], 'isSlow', fault.forMs);
+      case 'path':
+        targets[fault.target]?.setPath(fault.state);
+        await sleep(fault.forMs);
+        targets[fault.target]?.setPath('open');
+        return;
       case 'burst':
         callers.times *= fault.times;
         await sleep(fault.forMs);
--- a/packages/soak/src/system/findFreePort.ts
+++ b/packages/soak/src/system/findFreePort.ts
@@ -2,10 +2,10 @@
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 
-/** A port that nobody listens on at the moment. */
-export const findFreePort = async (): Promise<number> => {
+/** A port of the IP address that nobody listens on at the moment. */
+export const findFreePort = async (ip: string): Promise<number> => {
   const server = createServer();
-  server.listen(0, '127.0.0.1');
+  server.listen(0, ip);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   server.close();
--- a/packages/soak/src/system/soakEntry.ts
+++ b/packages/soak/src/system/soakEntry.ts
@@ -1,5 +1,6 @@
 /** An entry of the soak, a process of its own. */
 export interface SoakEntry extends AsyncDisposable {
+  readonly ip: string;
   readonly port: number;
   /** Takes new callers. */
   readonly isTaking: () => boolean;
--- a/packages/soak/src/system/soakTarget.ts
+++ b/packages/soak/src/system/soakTarget.ts
@@ -1,3 +1,5 @@
+import type { PathState } from './pathState.js';
+
 /** A target of the soak. */
 export interface SoakTarget extends AsyncDisposable {
   readonly name: string;
@@ -5,4 +7,5 @@
   /** It resets part of its requests. */
   areResetsOn: boolean;
   isSlow: boolean;
+  readonly setPath: (state: PathState) => void;
 }
--- a/packages/soak/src/system/startSoakEntry.ts
+++ b/packages/soak/src/system/startSoakEntry.ts
@@ -42,11 +42,12 @@
   /** Takes what is done to it. */
   readonly disturbances: Disturbance[];
 }): Promise<SoakEntry> => {
-  const port = await findFreePort();
-  const readiness = `127.0.0.1:${await findFreePort()}`;
+  // Addresses of its own, so that nothing else takes its ports while it is restarted.
+  const ip = peers.ips[index] ?? '127.0.0.1';
+  const port = await findFreePort(ip);
+  const readiness = `${ip}:${port + 1}`;
   const settings = join(directory, `entry-${index}.json`);
   const log = openSync(join(directory, `entry-${index}.log`), 'a');
-  const [ip] = peers.ips.slice(index);
   writeFileSync(
     settings,
     JSON.stringify({
@@ -54,7 +55,7 @@
       host: `host-${index}`,
       dataCentre: 'here',
       routing,
-      callersAddress: `127.0.0.1:${port}`,
+      callersAddress: `${ip}:${port}`,
       readinessAddress: readiness,
       metricsAddress: '127.0.0.1:0',
       peers: { ip, port: peers.port, addresses: peers.ips.filter((other) => other !== ip) },
@@ -102,6 +103,7 @@
   };
 
   return {
+    ip,
     port,
     isTaking: () => isTaking,
     kill: () =>
--- a/packages/soak/src/system/startSoakTarget.ts
+++ b/packages/soak/src/system/startSoakTarget.ts
@@ -5,6 +5,8 @@
 import { getAnswerBody } from '../history/getAnswerBody.js';
 import type { RequestKind } from '../history/requestKind.js';
 import type { TargetRun } from '../history/targetRun.js';
+import { startPath } from './startPath.js';
+import { watchServer } from './watchServer.js';
 import type { SoakTarget } from './soakTarget.js';
 
 const ID_HEADER = 'x-request-id';
@@ -25,12 +27,10 @@
 export const startSoakTarget = async ({
   name,
   note,
-  getEarliestMs,
   random,
 }: {
   readonly name: string;
   readonly note: (run: TargetRun) => void;
-  readonly getEarliestMs: () => number;
   readonly random: () => number;
 }): Promise<SoakTarget> => {
   const answer = async (
@@ -50,9 +50,16 @@
   };
 
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const { remotePort } = request.socket;
     const id = String(request.headers[ID_HEADER]);
     const isFaulty = target.areResetsOn && random() < RESET_SHARE;
-    note({ id, target: name, earliestMs: getEarliestMs(), isFaulty: isFaulty || target.isSlow });
+    note({
+      id,
+      target: name,
+      earliestMs: Math.min(watch.getEarliestMs(request.socket), path.getEarliestMs(remotePort)),
+      isFaulty: isFaulty || target.isSlow,
+      isPathHarmed: path.isHarmed(),
+    });
     await sleep(target.isSlow ? SLOW_WORK_MS : WORK_MS);
     if (isFaulty && random() < RESET_SHARE) {
       request.socket.resetAndDestroy();
@@ -74,13 +81,19 @@
     response.on('error', () => undefined);
     void serve(request, response);
   });
-  const address = await listenHttp(server, { address: '127.0.0.1', port: 0 });
+  const watch = watchServer(server);
+  const path = await startPath(await listenHttp(server, { address: '127.0.0.1', port: 0 }));
   const target: SoakTarget = {
     name,
-    address,
+    address: path.address,
     areResetsOn: false,
     isSlow: false,
-    [Symbol.asyncDispose]: () => closeHttp(server),
+    setPath: path.setState,
+    [Symbol.asyncDispose]: async () => {
+      watch[Symbol.dispose]();
+      await path[Symbol.asyncDispose]();
+      await closeHttp(server);
+    },
   };
   return target;
 };
--- a/packages/soak/tests/findBreaches.test.ts
+++ b/packages/soak/tests/findBreaches.test.ts
@@ -24,7 +24,7 @@
 
 const newHistory = (changes: Partial<History> = {}): History => ({
   requests: [newRequest()],
-  runs: [{ id: 'r1', target: 't', earliestMs: 10, isFaulty: false }],
+  runs: [{ id: 'r1', target: 't', earliestMs: 10, isFaulty: false, isPathHarmed: false }],
   disturbances: [],
   calmFromMs: Infinity,
   ...changes,
@@ -38,6 +38,7 @@
   target: 't',
   earliestMs,
   isFaulty: false,
+  isPathHarmed: false,
 });
 
 describe('the checks of a soak', () => {
@@ -71,6 +72,12 @@
     expect(findPromises({ requests, runs: [newRun(600)] })).toEqual([]);
   });
 
+  it('lay nothing of that to an entry whose path to the target was harmed', () => {
+    const requests = [newRequest({ leftMs: 100, isWhole: false, body: '' })];
+    const runs = [{ ...newRun(601), isPathHarmed: true }];
+    expect(findPromises({ requests, runs })).toEqual([]);
+  });
+
   it('lay nothing of that to an entry that was paused', () => {
     const requests = [newRequest({ leftMs: 100, isWhole: false, body: '' })];
     const disturbances = [{ entry: 0, kind: 'paused' as const, fromMs: 50, untilMs: 500 }];
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -7,9 +7,9 @@
 const SIZE = { entries: 3, targets: 4, faultsMs: 6_000 };
 
 it.each([
-  // A burst beside processes that take the processor: work for callers that had left, in 46 requests.
+  // Bursts beside processes that take the processor: work for callers that had left.
   100,
-  // Two entries stop in turn, then the same: work for callers that had left, in 166 requests.
+  // Two entries stop in turn, then the same: work for callers that had left.
   108,
 ])('no promise is broken in the run of seed %i', async (seed) => {
   const directory = mkdtempSync(join(tmpdir(), 'parsleyhall-soak-'));
