Soak: one step for each kind of fault; a clearer comment

Read as a newcomer: runSoak did everything; what a fault does is a function of its own now, and targets and callers are told by calls and not by fields. The comment in the reading watch says what holds.

--- a/packages/router/src/reading/createReadingWatch.ts
+++ b/packages/router/src/reading/createReadingWatch.ts
@@ -57,7 +57,7 @@
       hasAcceptedInTurn = true;
       accepted += 1;
       if (accepted === 1) {
-        // A whole turn lies between two ticks, and none of its kind has accepted anything since.
+        // Between the last two ticks all connections were read once, and nothing waited.
         clearMs = Math.max(clearMs, tickBeforeMs);
         setImmediate(endTurn);
       }
--- a/packages/soak/src/callers/startCallers.ts
+++ b/packages/soak/src/callers/startCallers.ts
@@ -2,6 +2,7 @@
 import type { History } from '../history/history.js';
 import type { RequestKind } from '../history/requestKind.js';
 import type { SoakEntry } from '../system/soakEntry.js';
+import type { Callers } from './callers.js';
 import { sendRequest } from './sendRequest.js';
 
 const PERIOD_MS = 20;
@@ -10,13 +11,6 @@
 const LONGEST_STAY_MS = 250;
 const KEPT_SHARE = 0.4;
 
-interface Callers {
-  /** How many times as often as usual they come. */
-  times: number;
-  /** Sends no more and waits for what is under way. */
-  readonly end: () => Promise<void>;
-}
-
 /** Starts callers that keep coming; `perSecond` at all entries together. */
 export const startCallers = ({
   entries,
@@ -33,6 +27,7 @@
   const under = new Set<Promise<void>>();
   let count = 0;
   let due = 0;
+  let times = 1;
 
   const send = (): void => {
     const taking = entries.map((_, index) => index).filter((index) => entries[index]?.isTaking());
@@ -57,8 +52,16 @@
     void whenOver.then(() => under.delete(whenOver));
   };
 
-  const callers: Callers = {
-    times: 1,
+  const coming = setInterval(() => {
+    due += (perSecond * times * PERIOD_MS) / 1_000;
+    for (; due >= 1; due -= 1) {
+      send();
+    }
+  }, PERIOD_MS);
+  return {
+    multiply: (by) => {
+      times *= by;
+    },
     end: async () => {
       clearInterval(coming);
       await Promise.all(under);
@@ -67,11 +70,4 @@
       });
     },
   };
-  const coming = setInterval(() => {
-    due += (perSecond * callers.times * PERIOD_MS) / 1_000;
-    for (; due >= 1; due -= 1) {
-      send();
-    }
-  }, PERIOD_MS);
-  return callers;
 };
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -5,14 +5,13 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { startCallers } from './callers/startCallers.js';
 import type { History } from './history/history.js';
-import type { Fault } from './plan/fault.js';
+import { happen } from './plan/happen.js';
 import { newPlan } from './plan/newPlan.js';
 import { findFreePort } from './system/findFreePort.js';
 import { getNowMs } from './system/getNowMs.js';
 import { newRoutingDocument } from './system/newRoutingDocument.js';
 import type { SoakEntry } from './system/soakEntry.js';
 import type { SoakTarget } from './system/soakTarget.js';
-import { starve } from './system/starve.js';
 import { startSoakEntry } from './system/startSoakEntry.js';
 import { startSoakTarget } from './system/startSoakTarget.js';
 
@@ -63,50 +62,12 @@
   const perSecond = PER_SECOND_AN_ENTRY * entryCount;
   const callers = startCallers({ entries, perSecond, history, random });
 
-  const trouble = async (
-    target: SoakTarget | undefined,
-    fault: 'areResetsOn' | 'isSlow',
-    forMs: number,
-  ) => {
-    if (target !== undefined) {
-      target[fault] = true;
-      await sleep(forMs);
-      target[fault] = false;
-    }
-  };
-
-  const happen = async (fault: Fault): Promise<void> => {
-    switch (fault.kind) {
-      case 'kill':
-        return entries[fault.entry]?.kill();
-      case 'stop':
-        return entries[fault.entry]?.stop();
-      case 'pause':
-        return entries[fault.entry]?.pause(fault.forMs);
-      case 'starve':
-        return starve(fault.processes, fault.forMs);
-      case 'resets':
-        return trouble(targets[fault.target], 'areResetsOn', fault.forMs);
-      case 'slow':
-        return trouble(targets[fault.target], 'isSlow', fault.forMs);
-      case 'path':
-        targets[fault.target]?.setPath(fault.state);
-        await sleep(fault.forMs);
-        targets[fault.target]?.setPath('open');
-        return;
-      case 'burst':
-        callers.times *= fault.times;
-        await sleep(fault.forMs);
-        callers.times /= fault.times;
-    }
-  };
-
   const plan = newPlan({ seed, entries: entryCount, targets: targetCount, faultsMs });
   writeFileSync(join(directory, 'plan.json'), JSON.stringify(plan, undefined, 2));
   await Promise.all(
     plan.map(async (fault) => {
       await sleep(fault.atMs);
-      await happen(fault);
+      await happen(fault, { entries, targets, callers });
     }),
   );
   await sleep(SETTLING_MS);
--- a/packages/soak/src/system/soakTarget.ts
+++ b/packages/soak/src/system/soakTarget.ts
@@ -4,8 +4,8 @@
 export interface SoakTarget extends AsyncDisposable {
   readonly name: string;
   readonly address: string;
-  /** It resets part of its requests. */
-  areResetsOn: boolean;
-  isSlow: boolean;
+  /** Whether it resets part of its requests. */
+  readonly setResets: (areOn: boolean) => void;
+  readonly setSlow: (isSlow: boolean) => void;
   readonly setPath: (state: PathState) => void;
 }
--- a/packages/soak/src/system/startSoakTarget.ts
+++ b/packages/soak/src/system/startSoakTarget.ts
@@ -33,6 +33,9 @@
   readonly note: (run: TargetRun) => void;
   readonly random: () => number;
 }): Promise<SoakTarget> => {
+  let areResetsOn = false;
+  let isSlow = false;
+
   const answer = async (
     response: ServerResponse,
     pieces: readonly string[],
@@ -52,15 +55,15 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { remotePort } = request.socket;
     const id = String(request.headers[ID_HEADER]);
-    const isFaulty = target.areResetsOn && random() < RESET_SHARE;
+    const isFaulty = areResetsOn && random() < RESET_SHARE;
     note({
       id,
       target: name,
       earliestMs: Math.min(watch.getEarliestMs(request.socket), path.getEarliestMs(remotePort)),
-      isFaulty: isFaulty || target.isSlow,
+      isFaulty: isFaulty || isSlow,
       isPathHarmed: path.isHarmed(),
     });
-    await sleep(target.isSlow ? SLOW_WORK_MS : WORK_MS);
+    await sleep(isSlow ? SLOW_WORK_MS : WORK_MS);
     if (isFaulty && random() < RESET_SHARE) {
       request.socket.resetAndDestroy();
       return;
@@ -83,11 +86,15 @@
   });
   const watch = watchServer(server);
   const path = await startPath(await listenHttp(server, { address: '127.0.0.1', port: 0 }));
-  const target: SoakTarget = {
+  return {
     name,
     address: path.address,
-    areResetsOn: false,
-    isSlow: false,
+    setResets: (areOn) => {
+      areResetsOn = areOn;
+    },
+    setSlow: (isOn) => {
+      isSlow = isOn;
+    },
     setPath: path.setState,
     [Symbol.asyncDispose]: async () => {
       watch[Symbol.dispose]();
@@ -95,5 +102,4 @@
       await closeHttp(server);
     },
   };
-  return target;
 };
