--- a/packages/soak/src/callers/startCallers.ts
+++ b/packages/soak/src/callers/startCallers.ts
@@ -1,4 +1,5 @@
 import { Agent } from 'node:http';
+import { MS_PER_SECOND } from '@parsleyhall/common';
 import type { History } from '../history/history.js';
 import type { RequestKind } from '../history/requestKind.js';
 import type { SoakEntry } from '../system/soakEntry.js';
@@ -53,7 +54,7 @@
   };
 
   const coming = setInterval(() => {
-    due += (perSecond * times * PERIOD_MS) / 1_000;
+    due += (perSecond * times * PERIOD_MS) / MS_PER_SECOND;
     for (; due >= 1; due -= 1) {
       send();
     }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,6 +1,7 @@
 import { randomInt } from 'node:crypto';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { MS_PER_SECOND } from '@parsleyhall/common';
 import sade from 'sade';
 import { findBreaches } from './checks/findBreaches.js';
 import { runSoak } from './runSoak.js';
@@ -10,7 +11,6 @@
 const DEFAULT_ENTRIES = 3;
 const DEFAULT_TARGETS = 4;
 const SEED_LIMIT = 2 ** 31;
-const MS_PER_SECOND = 1_000;
 
 interface Options {
   readonly runs: number;
--- a/packages/soak/src/system/startPath.ts
+++ b/packages/soak/src/system/startPath.ts
@@ -2,6 +2,7 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { splitAddress } from '@parsleyhall/common';
+import { getNowMs } from './getNowMs.js';
 import type { PathState } from './pathState.js';
 import { watchServer } from './watchServer.js';
 
@@ -23,7 +24,7 @@
 /** Starts a path to an address; what a silent one holds is lost where its sender leaves. */
 export const startPath = async (target: string): Promise<Path> => {
   const sockets = new Set<Socket>();
-  /** By the local port of the connection to the target. */
+  /** By the local port of the connection to the target; kept beyond its end, since the target may read later. */
   const earliest = new Map<number, () => number>();
   let state: PathState = 'open';
   let openSinceMs = -Infinity;
@@ -32,7 +33,7 @@
     if (from.destroyed || to.destroyed) {
       return;
     }
-    if (state === 'silent' || performance.now() < notBeforeMs) {
+    if (state === 'silent' || getNowMs() < notBeforeMs) {
       setTimeout(() => {
         hand(from, to, bytes, notBeforeMs);
       }, RELEASE_CHECK_MS);
@@ -48,7 +49,7 @@
     from.on('data', (bytes) => {
       noteRead();
       from.pause();
-      hand(from, to, bytes, state === 'delayed' ? performance.now() + DELAY_MS : 0);
+      hand(from, to, bytes, state === 'delayed' ? getNowMs() + DELAY_MS : 0);
     });
     from.once('close', () => {
       sockets.delete(from);
@@ -65,21 +66,20 @@
     const far = connect({ host, port, noDelay: true });
     near.setNoDelay(true);
     // What a sender that has left was held is lost; what a target has answered still arrives.
-    const leaveFar = (): void => {
-      far.destroy();
-      if (far.localPort !== undefined) {
-        earliest.delete(far.localPort);
-      }
-    };
     let earliestMs = watch.getEarliestMs(near);
     far.once('connect', () => {
       if (far.localPort !== undefined) {
         earliest.set(far.localPort, () => earliestMs);
       }
     });
-    join(near, far, leaveFar, () => {
-      earliestMs = watch.getEarliestMs(near);
-    });
+    join(
+      near,
+      far,
+      () => far.destroy(),
+      () => {
+        earliestMs = watch.getEarliestMs(near);
+      },
+    );
     join(
       far,
       near,
@@ -92,11 +92,11 @@
   await once(server, 'listening');
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    isHarmed: () => state !== 'open' || performance.now() - openSinceMs < SETTLED_AFTER_MS,
-    getEarliestMs: (localPort) => earliest.get(localPort ?? 0)?.() ?? -Infinity,
+    isHarmed: () => state !== 'open' || getNowMs() - openSinceMs < SETTLED_AFTER_MS,
+    getEarliestMs: (localPort) => earliest.get(localPort ?? 0)?.() ?? Infinity,
     setState: (next) => {
       state = next;
-      openSinceMs = performance.now();
+      openSinceMs = getNowMs();
       if (next === 'reset') {
         sockets.forEach((socket) => socket.resetAndDestroy());
       }
--- a/packages/soak/src/system/startSoakEntry.ts
+++ b/packages/soak/src/system/startSoakEntry.ts
@@ -1,7 +1,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { openSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
@@ -131,6 +131,7 @@
     [Symbol.asyncDispose]: async () => {
       await doing;
       await end('SIGKILL');
+      closeSync(log);
     },
   };
 };
