Routing: confirm a configuration only while nothing newer is known

Cause: a confirmation said only that the platform held nothing newer than what the entry had read. A platform that comes back from an older copy of its data has forgotten versions that it had acknowledged; it confirmed the older one, so an entry that started then would accept keys that had been withdrawn, and one that had missed the forgotten version would go on with it.

Ruled out: keeping the newer version in force was right already (an older one never replaces it).

Change: a confirmation carries the version that the platform has; digests carry the version in force. A version below the newest one known here or at another entry confirms nothing. An entry that has just started waits for a first digest, 500 ms at most, and reports itself ready after that. Sources that each entry has for itself (the routing document in a file) state no version and are confirmed as before.

Tests: five in admission.test.ts; the first three fail on the code before. The setup of one quota test confirms after the digest now, since a confirmation without any waits.

--- a/packages/router/src/logging/processLogEvents.ts
+++ b/packages/router/src/logging/processLogEvents.ts
@@ -90,6 +90,12 @@
     fields: ['topic'],
     optional: [],
   },
+  storeRestoredFromCopy: {
+    level: 'warn',
+    text: "the platform's store came back from an older copy of its data; everything is read again",
+    fields: [],
+    optional: [],
+  },
   configurationMalformed: {
     level: 'error',
     text: 'a configuration could not be read; the last one stays in force',
--- a/packages/router/src/peers/parseDigest.ts
+++ b/packages/router/src/peers/parseDigest.ts
@@ -31,7 +31,7 @@
   if (!isRecord(value) || !isRecord(value.digest) || !Array.isArray(value.known)) {
     return undefined;
   }
-  const { host, incarnation, sequence, isLeaving } = value.digest;
+  const { host, incarnation, sequence, configurationVersion, isLeaving } = value.digest;
   const inFlight = parseCounts(value.digest.inFlight);
   const quotaTaken = parseCounts(value.digest.quotaTaken);
   const quotaRecent = parseRecentQuotas(value.digest.quotaRecent);
@@ -39,6 +39,7 @@
     typeof host !== 'string' ||
     typeof incarnation !== 'number' ||
     typeof sequence !== 'number' ||
+    typeof configurationVersion !== 'number' ||
     inFlight === undefined ||
     quotaTaken === undefined ||
     quotaRecent === undefined
@@ -50,6 +51,7 @@
       host,
       incarnation,
       sequence,
+      configurationVersion,
       inFlight,
       quotaTaken,
       quotaRecent,
--- a/packages/router/src/process/routerInputs.ts
+++ b/packages/router/src/process/routerInputs.ts
@@ -8,8 +8,11 @@
 /** Functions through which the platform passes its state to the router. */
 export interface RouterInputs {
   readonly handleConfiguration: (configuration: RoutingConfiguration) => void;
-  /** Reports that the latest configuration was still the newest on the platform at that moment. */
-  readonly handleConfigurationConfirmed: (confirmed: ClockReading) => void;
+  /**
+   * Reports that the platform held nothing newer than the latest configuration at that moment; `version` is the newest one
+   * on a platform that all entries share, and left out if each entry has its own source.
+   */
+  readonly handleConfigurationConfirmed: (confirmed: ClockReading, version?: number) => void;
   readonly handleTargets: (targets: readonly ListedTarget[]) => void;
   /** Reports that the latest list of targets is still the newest on the platform. */
   readonly handleTargetsConfirmed: () => void;
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -1,4 +1,4 @@
-import { createEventLoop } from '@parsleyhall/common';
+import { createEventLoop, toOptionalField } from '@parsleyhall/common';
 import { createMetrics } from '@parsleyhall/metrics';
 import { newRoutingState, reduceRouting } from '@parsleyhall/routing';
 import type {
@@ -155,7 +155,9 @@
   peers.addAddresses(settings.peerAddresses);
 
   const isReady = (): boolean =>
-    !shutdown.isShuttingDown() && getState().index !== undefined && !getState().targets.isEmpty();
+    !shutdown.isShuttingDown() &&
+    getState().configurationConfirmedAt !== undefined &&
+    !getState().targets.isEmpty();
 
   const readinessServer = await startReadinessServer({
     address: settings.readinessAddress,
@@ -170,8 +172,12 @@
       callers.setIdleTimeoutMs(configuration.limits.idleTimeoutMs);
       dispatch({ type: 'configurationRead', configuration });
     },
-    handleConfigurationConfirmed: (confirmed) => {
-      dispatch({ type: 'configurationConfirmed', confirmedAt: confirmed });
+    handleConfigurationConfirmed: (confirmedAt, version) => {
+      dispatch({
+        type: 'configurationConfirmed',
+        confirmedAt,
+        ...toOptionalField('version', version),
+      });
     },
     handleTargets: (targets) => {
       dispatch({ type: 'targetsListed', targets });
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -5,6 +5,9 @@
 /** Creates the state of an entry that starts now; `nowMs` is in milliseconds of the monotonic clock. */
 export const newRoutingState = (settings: RoutingSettings, nowMs: number): RoutingState => ({
   settings,
+  unusedConfirmation: undefined,
+  newestPeerVersion: 0,
+  startedAtMs: nowMs,
   targets: Map(),
   targetReports: Map(),
   requests: Map(),
--- a/packages/routing/src/peers/handleDigest.ts
+++ b/packages/routing/src/peers/handleDigest.ts
@@ -53,6 +53,7 @@
       : state;
   const updated = {
     ...merged,
+    newestPeerVersion: Math.max(merged.newestPeerVersion, digest.configurationVersion),
     quotaAccounts: chargePeerUsage(merged, digest, known, context),
     peers: state.peers.set(digest.host, {
       digest,
--- a/packages/routing/src/peers/newDigest.ts
+++ b/packages/routing/src/peers/newDigest.ts
@@ -1,3 +1,4 @@
+import { getVersion } from '../configuration/getVersion.js';
 import { getRecentQuotas } from '../quota/getRecentQuotas.js';
 import { isQuotaWindowKnown } from '../quota/isQuotaWindowKnown.js';
 import type { RoutingState } from '../routingState.js';
@@ -15,6 +16,7 @@
     host: settings.host,
     incarnation: settings.incarnation,
     sequence: state.digestSequence,
+    configurationVersion: getVersion(state),
     inFlight: Object.fromEntries(
       [...state.targets]
         .filter(([, { inFlight }]) => inFlight > 0)
--- a/packages/routing/src/peers/peerDigest.ts
+++ b/packages/routing/src/peers/peerDigest.ts
@@ -7,6 +7,8 @@
   readonly incarnation: number;
   /** Increases with each digest of an incarnation. */
   readonly sequence: number;
+  /** The version of the configuration that is in force at the entry; 0 before the first one. */
+  readonly configurationVersion: number;
   /** Requests of the entry in flight at each target, by target id. */
   readonly inFlight: Readonly<Record<string, number>>;
   /** The entry's usage of each team's quota since its start, by team. */
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -1,4 +1,5 @@
 import type { Reducer } from '@parsleyhall/common';
+import { confirmConfiguration } from './configuration/confirmConfiguration.js';
 import { indexConfiguration } from './configuration/indexConfiguration.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import { handleDigest } from './peers/handleDigest.js';
@@ -79,7 +80,7 @@
     case 'configurationRead':
       return applyConfiguration(state, event.configuration);
     case 'configurationConfirmed':
-      return createStepResult({ ...state, configurationConfirmedAt: event.confirmedAt });
+      return createStepResult(confirmConfiguration(state, event, context));
     case 'targetsConfirmed':
       return createStepResult({ ...state, targetsConfirmedAtMs: context.nowMs });
     case 'targetsListed':
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -1,5 +1,5 @@
 import type { ResponseHead } from './responseHead.js';
-import type { ClockReading } from './configuration/clockReading.js';
+import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import type { PeerDigest } from './peers/peerDigest.js';
 import type { RecentQuotas } from './quota/recentQuotas.js';
@@ -33,7 +33,7 @@
       readonly failure: SendFailure;
     }
   | { readonly type: 'configurationRead'; readonly configuration: RoutingConfiguration }
-  | { readonly type: 'configurationConfirmed'; readonly confirmedAt: ClockReading }
+  | ({ readonly type: 'configurationConfirmed' } & Confirmation)
   | { readonly type: 'targetsListed'; readonly targets: readonly ListedTarget[] }
   | { readonly type: 'digestReceived'; readonly digest: PeerDigest }
   /** The persisted quota usage from before this entry started was read. */
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -1,5 +1,6 @@
 import type { Map } from 'immutable';
 import type { ClockReading } from './configuration/clockReading.js';
+import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingIndex } from './configuration/routingIndex.js';
 import type { AdmittedLoad } from './load/admittedLoad.js';
 import type { Peer } from './peers/peer.js';
@@ -18,6 +19,10 @@
   readonly index?: RoutingIndex;
   /** When the configuration was last confirmed to be the newest. */
   readonly configurationConfirmedAt?: ClockReading;
+  /** The latest confirmation, if it cannot be used yet. */
+  readonly unusedConfirmation: Confirmation | undefined;
+  /** The newest version of the configuration that another entry has reported; 0 before the first digest. */
+  readonly newestPeerVersion: number;
   /** Both clocks at the latest tick. */
   readonly lastTick?: ClockReading;
   /** When the list of targets was last confirmed to be the newest, in milliseconds of the monotonic clock. */
@@ -40,6 +45,8 @@
   readonly admittedLoads: Map<string, readonly AdmittedLoad[]>;
   /** By service. */
   readonly latencyModels: Map<string, LatencyModel>;
+  /** When this entry started, in milliseconds of the monotonic clock. */
+  readonly startedAtMs: number;
   /** The moment since which all quota usage is known, in milliseconds of the monotonic clock. */
   readonly quotasKnownSinceMs: number;
   /** When this entry last persisted the quota usage, in milliseconds of the monotonic clock. */
--- a/packages/routing/src/steps/handleTick.ts
+++ b/packages/routing/src/steps/handleTick.ts
@@ -1,3 +1,4 @@
+import { applyUnusedConfirmation } from '../configuration/applyUnusedConfirmation.js';
 import { reportLostPeers } from '../peers/reportLostPeers.js';
 import { newDigest } from '../peers/newDigest.js';
 import { persistQuotas } from '../quota/persistQuotas.js';
@@ -14,7 +15,7 @@
 
 /** Runs the periodic checks of all requests and sends a digest to the other entries. */
 export const handleTick = (state: RoutingState, context: StepContext): StepResult => {
-  const clocksChecked = detectClockJump(state, context);
+  const clocksChecked = detectClockJump(applyUnusedConfirmation(state, context), context);
   const peersChecked = chainStep(clocksChecked, (current) =>
     reportLostPeers(current, context.nowMs),
   );
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { newConfiguration } from './support/newConfiguration.js';
+import { newPeerDigest } from './support/newPeerDigest.js';
 import { newRoute } from './support/newRoute.js';
 import { newTargets } from './support/newTargets.js';
 import { RoutingHarness } from './support/routingHarness.js';
@@ -103,3 +104,67 @@
     expect(entry.getLastSend(requestId).team).toBeUndefined();
   });
 });
+
+describe('a platform that has forgotten a version of the configuration', () => {
+  const ENOUGH_MS = 4_900;
+
+  it('does not confirm the newer version in force', () => {
+    const entry = RoutingHarness.createReady(newConfiguration({ version: 7 }));
+    entry.nowMs += ENOUGH_MS;
+    entry.confirmConfiguration(6);
+    expect(entry.getRefusal(entry.arrive())?.reason).toBe('configurationUnconfirmed');
+    entry.confirmConfiguration(7);
+    expect(entry.getRefusal(entry.arrive())).toBeUndefined();
+  });
+
+  it('does not confirm a version older than another entry has in force', () => {
+    const entry = RoutingHarness.createReady(newConfiguration({ version: 6 }));
+    const digest = newPeerDigest({ configurationVersion: 7 });
+    entry.dispatch({ type: 'digestReceived', digest });
+    entry.nowMs += ENOUGH_MS;
+    entry.confirmConfiguration(6);
+    expect(entry.getRefusal(entry.arrive())?.reason).toBe('configurationUnconfirmed');
+    entry.dispatch({
+      type: 'configurationRead',
+      configuration: newConfiguration({ version: 7, teams: [] }),
+    });
+    entry.confirmConfiguration(7);
+    expect(entry.getRefusal(entry.arrive())).toBeUndefined();
+  });
+
+  it('does not give a withdrawn key back to an entry that starts now', () => {
+    const entry = new RoutingHarness();
+    entry.dispatch({ type: 'configurationRead', configuration: newConfiguration({ version: 6 }) });
+    entry.dispatch({ type: 'targetsListed', targets: newTargets(2) });
+    entry.confirmConfiguration(6);
+    expect(entry.getRefusal(entry.arrive())?.reason).toBe('configurationUnconfirmed');
+    const digest = newPeerDigest({ configurationVersion: 7 });
+    entry.dispatch({ type: 'digestReceived', digest });
+    entry.advance(2_000);
+    expect(entry.getRefusal(entry.arrive())?.reason).toBe('configurationUnconfirmed');
+  });
+});
+
+describe('an entry that has just started', () => {
+  const startEntry = (): RoutingHarness => {
+    const entry = new RoutingHarness();
+    entry.dispatch({ type: 'configurationRead', configuration: newConfiguration() });
+    entry.dispatch({ type: 'targetsListed', targets: newTargets(2) });
+    entry.confirmConfiguration();
+    return entry;
+  };
+
+  it('accepts keys as soon as another entry has confirmed that nothing newer exists', () => {
+    const entry = startEntry();
+    entry.dispatch({ type: 'digestReceived', digest: newPeerDigest({ configurationVersion: 1 }) });
+    entry.dispatch({ type: 'ticked' });
+    expect(entry.getRefusal(entry.arrive())).toBeUndefined();
+  });
+
+  it('accepts keys after a short while if there is no other entry', () => {
+    const entry = startEntry();
+    entry.nowMs += 500;
+    entry.dispatch({ type: 'ticked' });
+    expect(entry.getRefusal(entry.arrive())).toBeUndefined();
+  });
+});
--- a/packages/routing/tests/quotasAndRetries.test.ts
+++ b/packages/routing/tests/quotasAndRetries.test.ts
@@ -150,7 +150,6 @@
       const entry = new RoutingHarness();
       entry.dispatch({ type: 'configurationRead', configuration });
       entry.dispatch({ type: 'targetsListed', targets: newTargets(1, { slots: 100 }) });
-      entry.confirmConfiguration();
       return entry;
     };
     const informed = createNewEntry();
@@ -159,6 +158,7 @@
       type: 'digestReceived',
       digest: newPeerDigest({ knowsWindow: true, tellsRecent: true, quotaRecent }),
     });
+    informed.confirmConfiguration();
     expect([isAdmitted(informed, 5), isAdmitted(informed, 30)]).toEqual([true, false]);
     const uninformed = createNewEntry();
     uninformed.dispatch({ type: 'digestReceived', digest: newPeerDigest({ knowsWindow: true }) });
--- a/packages/routing/tests/support/newPeerDigest.ts
+++ b/packages/routing/tests/support/newPeerDigest.ts
@@ -5,6 +5,7 @@
   host: 'other',
   incarnation: 1,
   sequence: 1,
+  configurationVersion: 0,
   inFlight: {},
   quotaTaken: {},
   quotaRecent: {},
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -61,9 +61,9 @@
     return reduction.effects;
   }
 
-  confirmConfiguration(): void {
+  confirmConfiguration(version = this.state.index?.configuration.version ?? 0): void {
     const confirmedAt = { monotonicMs: this.nowMs, wallMs: this.nowMs + this.wallOffsetMs };
-    this.dispatch({ type: 'configurationConfirmed', confirmedAt });
+    this.dispatch({ type: 'configurationConfirmed', confirmedAt, version });
   }
 
   /** Advances the clocks in ticks of the real period and keeps the configuration confirmed. */
