Peers: the cost of digests no longer grows with the square of the entries

Cause: every entry sent a digest with the addresses of all entries to all others at each tick of 50 ms.

Ruled out: the loss of a digest (each is complete) and the period itself (5 to 28 entries never showed it).

Change: an entry sends 400 digests a second to all others together, at most one a tick to each; the time after which a silent entry counts as lost grows with the period where four periods are longer than a second; a digest names eight other entries, in turn. A planned stop is announced at the next tick.

--- a/packages/router/src/peers/parseDigest.ts
+++ b/packages/router/src/peers/parseDigest.ts
@@ -40,6 +40,7 @@
     typeof incarnation !== 'number' ||
     typeof sequence !== 'number' ||
     typeof configurationVersion !== 'number' ||
+    !Number.isSafeInteger(configurationVersion) ||
     inFlight === undefined ||
     quotaTaken === undefined ||
     quotaRecent === undefined
--- a/packages/router/src/peers/startPeerLink.ts
+++ b/packages/router/src/peers/startPeerLink.ts
@@ -6,6 +6,9 @@
 /** An unchanged digest is sent again after this time. */
 const UNCHANGED_RESEND_MS = 250;
 
+/** Addresses of other entries that one digest names; the next digest names the next ones. */
+const ADDRESSES_PER_DIGEST = 8;
+
 const serializeContent = ({ sequence: _, ...content }: PeerDigest): string =>
   JSON.stringify(content);
 
@@ -28,6 +31,7 @@
   readonly getNowMs: () => number;
 }): Promise<PeerLink> => {
   const knownAddresses = new Set<string>();
+  let nextAddressIndex = 0;
   let lastSentContent = '';
   let lastSentAtMs = -Infinity;
 
@@ -35,6 +39,16 @@
     addresses.filter((address) => address !== ip).forEach((address) => knownAddresses.add(address));
   };
 
+  const takeNextAddresses = (): readonly string[] => {
+    const addresses = [...knownAddresses];
+    const next = [...addresses, ...addresses].slice(
+      nextAddressIndex,
+      nextAddressIndex + Math.min(ADDRESSES_PER_DIGEST, addresses.length),
+    );
+    nextAddressIndex = (nextAddressIndex + next.length) % Math.max(1, addresses.length);
+    return next;
+  };
+
   const socket = createSocket('udp4');
   socket.on('message', (bytes, { address }) => {
     const message = parseDigest(bytes);
@@ -62,7 +76,7 @@
       }
       lastSentContent = content;
       lastSentAtMs = nowMs;
-      const bytes = Buffer.from(JSON.stringify({ digest, known: [...knownAddresses] }));
+      const bytes = Buffer.from(JSON.stringify({ digest, known: takeNextAddresses() }));
       knownAddresses.forEach((address) => {
         socket.send(bytes, port, address, () => undefined);
       });
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -21,5 +21,6 @@
   quotasPersistedAtMs: nowMs,
   nextSendId: 1,
   digestSequence: 0,
+  digestSentAtMs: -Infinity,
   isLeaving: false,
 });
--- a/packages/routing/src/peers/handleDigest.ts
+++ b/packages/routing/src/peers/handleDigest.ts
@@ -5,6 +5,7 @@
 import { createStepResult } from '../steps/createStepResult.js';
 import type { StepResult } from '../steps/stepResult.js';
 import type { StepContext } from '../steps/stepContext.js';
+import { getPeerTimeoutMs } from './getPeerTimeoutMs.js';
 import type { Peer } from './peer.js';
 import type { PeerDigest } from './peerDigest.js';
 
@@ -58,6 +59,7 @@
     peers: state.peers.set(digest.host, {
       digest,
       lastHeardAtMs: context.nowMs,
+      timeoutMs: getPeerTimeoutMs(state.peers.size),
       isReportedLost: false,
     }),
   };
--- a/packages/routing/src/peers/peer.ts
+++ b/packages/routing/src/peers/peer.ts
@@ -4,6 +4,8 @@
 export interface Peer {
   readonly digest: PeerDigest;
   readonly lastHeardAtMs: number;
+  /** How long it may be silent before it counts as lost. */
+  readonly timeoutMs: number;
   /** Its loss has been logged. */
   readonly isReportedLost: boolean;
 }
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -92,7 +92,7 @@
     case 'settingsRead':
       return createStepResult({ ...state, settings: event.settings });
     case 'drainStarted':
-      return createStepResult({ ...state, isLeaving: true });
+      return createStepResult({ ...state, isLeaving: true, digestSentAtMs: -Infinity });
     case 'ticked':
       return handleTick(state, context);
   }
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -53,6 +53,8 @@
   readonly quotasPersistedAtMs: number;
   readonly nextSendId: number;
   readonly digestSequence: number;
+  /** When the latest digest was sent, in milliseconds of the monotonic clock; -Infinity if one is due now. */
+  readonly digestSentAtMs: number;
   /** The entry is about to stop. */
   readonly isLeaving: boolean;
 }
--- a/packages/routing/src/steps/handleTick.ts
+++ b/packages/routing/src/steps/handleTick.ts
@@ -1,14 +1,14 @@
 import { applyUnusedConfirmation } from '../configuration/applyUnusedConfirmation.js';
 import { reportLostPeers } from '../peers/reportLostPeers.js';
-import { newDigest } from '../peers/newDigest.js';
+import { sendDigestIfDue } from '../peers/sendDigestIfDue.js';
 import { persistQuotas } from '../quota/persistQuotas.js';
 import type { RoutingState } from '../routingState.js';
 import { chainStep } from './chainStep.js';
+import { createStepResult } from './createStepResult.js';
 import { detectClockJump } from './detectClockJump.js';
 import { checkTimeouts } from './checkTimeouts.js';
 import { dispatchWaiting } from './dispatchWaiting.js';
 import { runStepForEach } from './runStepForEach.js';
-import { createStepResult } from './createStepResult.js';
 import { refuseUnservable } from './refuseUnservable.js';
 import type { StepResult } from './stepResult.js';
 import type { StepContext } from './stepContext.js';
@@ -34,8 +34,5 @@
     ),
   );
   const quotasPersisted = chainStep(dispatched, (current) => persistQuotas(current, context));
-  return chainStep(quotasPersisted, (current) => {
-    const counted = { ...current, digestSequence: current.digestSequence + 1 };
-    return createStepResult(counted, { type: 'sendDigest', digest: newDigest(counted, context) });
-  });
+  return chainStep(quotasPersisted, (current) => sendDigestIfDue(current, context));
 };
