--- a/packages/daemon/src/entryProcess/createEntrySideLinks.ts
+++ b/packages/daemon/src/entryProcess/createEntrySideLinks.ts
@@ -29,6 +29,7 @@
       dispatch({ type: 'sideMessage', side, message });
     },
     onDisconnected: (side) => {
+      diagnostics.recordPeerDisconnected(side);
       dispatch({ type: 'sideDisconnected', side });
     },
     onMalformed: (side, fault) => {
--- a/packages/daemon/src/process/createDiagnostics.ts
+++ b/packages/daemon/src/process/createDiagnostics.ts
@@ -21,6 +21,10 @@
     metrics.increment('malformed_messages_total');
     logger.warn({ event: 'malformedMessage', peer, fault }, 'a peer sent a malformed message');
   },
+  recordPeerDisconnected: (peer) => {
+    metrics.increment('peer_disconnects_total');
+    logger.warn({ event: 'peerDisconnected', peer }, 'the stream to a peer was closed');
+  },
   recordEffectFailure: (type, error) => {
     metrics.increment('effect_failures_total', { type });
     logger.error({ event: 'effectFailed', type, err: toError(error) }, 'an effect failed');
--- a/packages/daemon/src/process/diagnostics.ts
+++ b/packages/daemon/src/process/diagnostics.ts
@@ -8,6 +8,8 @@
   readonly recordLogFailure: (failure: LogFailure) => boolean;
   readonly recordHostListFailure: (failure: PlatformFailure) => void;
   readonly recordMalformedMessage: (fault: MalformedMessage, peer: string) => void;
+  /** Records that the stream to a peer was closed by either end or by its keep-alive. */
+  readonly recordPeerDisconnected: (peer: string) => void;
   readonly recordEffectFailure: (type: string, error: unknown) => void;
   readonly recordVerdict: (verdict: OffsetVerdict) => void;
   readonly recordActiveConfiguration: (configuration: ConfigurationState) => void;
