Router: an unexpected error no longer ends the process

Cause: an exception in the reducer, or in any listener, reached the top of the process and ended it; one request or message that trips over a fault cut the responses of all callers at that entry (a story of other operators).

Change: an event that the reducer fails on leaves the state as it was and is logged (eventFailed, events_failed_total); an error that nothing handles is logged (unexpectedError) once the router has started. A start that fails still ends the process. Also: the usage of quotas is computed only by the entry that writes it, no longer by every entry at every tick.

--- a/packages/common/src/createEventLoop.ts
+++ b/packages/common/src/createEventLoop.ts
@@ -1,13 +1,21 @@
 import type { Reducer } from './reducer.js';
 import type { EventLoop } from './eventLoop.js';
 
-/** Creates an event loop around a reducer. A failing effect is turned into an event if `toFailureEvent` returns one. */
+const rethrow = (_: unknown, error: unknown): never => {
+  throw error;
+};
+
+/**
+ * Creates an event loop around a reducer. A failing effect is turned into an event if `toFailureEvent` returns one. An
+ * event that the reducer fails on leaves the state as it was.
+ */
 export const createEventLoop = <State, Event, EventBody, Effect>({
   initialState,
   reduce,
   stampEvent,
   runEffect,
   toFailureEvent,
+  handleReducerError = rethrow,
 }: {
   readonly initialState: State;
   readonly reduce: Reducer<State, Event, Effect>;
@@ -15,6 +23,8 @@
   readonly stampEvent: (body: EventBody) => Event;
   readonly runEffect: (effect: Effect) => void;
   readonly toFailureEvent: (effect: Effect, error: unknown) => EventBody | undefined;
+  /** Receives an event that the reducer failed on; by default the error ends the dispatch. */
+  readonly handleReducerError?: (body: EventBody, error: unknown) => void;
 }): EventLoop<State, EventBody> => {
   const queue: EventBody[] = [];
   let state = initialState;
@@ -31,15 +41,20 @@
     }
   };
 
-  const reduceNext = (body: EventBody): void => {
-    const reduction = reduce(state, stampEvent(body));
-    state = reduction.state;
-    reduction.effects.forEach(runEffectSafely);
+  const reduceSafely = (body: EventBody): readonly Effect[] => {
+    try {
+      const reduction = reduce(state, stampEvent(body));
+      state = reduction.state;
+      return reduction.effects;
+    } catch (error) {
+      handleReducerError(body, error);
+      return [];
+    }
   };
 
   const reduceQueued = (): void => {
     for (let body = queue.shift(); body !== undefined; body = queue.shift()) {
-      reduceNext(body);
+      reduceSafely(body).forEach(runEffectSafely);
     }
   };
 
--- a/packages/daemon/src/routerProcess/startRouterProcess.ts
+++ b/packages/daemon/src/routerProcess/startRouterProcess.ts
@@ -1,6 +1,7 @@
 import {
   createBoundedOutput,
   createLogger as createRouterLogger,
+  logUnexpectedErrors,
   startRouter,
 } from '@parsleyhall/router';
 import type { RouterSettings } from '@parsleyhall/router';
@@ -47,6 +48,7 @@
     logger,
     platform: createFilePlatform(file.routing, logger),
   });
+  const errorLogging = logUnexpectedErrors(logger);
   return {
     listeners: {
       callers: router.callersAddress,
@@ -57,6 +59,7 @@
     whenStopped: router.whenStopped,
     [Symbol.asyncDispose]: async () => {
       await router[Symbol.asyncDispose]();
+      errorLogging[Symbol.dispose]();
       await output[Symbol.asyncDispose]();
     },
   };
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,7 @@
 export { createBoundedOutput } from './logging/createBoundedOutput.js';
 export { createLogger } from './logging/createLogger.js';
 export { getClocks } from './process/getClocks.js';
+export { logUnexpectedErrors } from './process/logUnexpectedErrors.js';
 export { startRouter } from './process/startRouter.js';
 export type { ResponseHeaders } from './requests/responseHeaders.js';
 export type { HeaderCodec } from './requests/headerCodec.js';
--- a/packages/router/src/logging/processLogEvents.ts
+++ b/packages/router/src/logging/processLogEvents.ts
@@ -30,6 +30,18 @@
     fields: ['type', 'detail'],
     optional: [],
   },
+  eventFailed: {
+    level: 'error',
+    text: 'the scheduler failed on an event, which is left out; all else goes on',
+    fields: ['type', 'detail'],
+    optional: [],
+  },
+  unexpectedError: {
+    level: 'error',
+    text: 'an error reached the top of the process; what it belonged to is lost, all else goes on',
+    fields: ['detail'],
+    optional: [],
+  },
   connectionsWaited: {
     level: 'warn',
     text: 'connections waited to be accepted; their requests were not read meanwhile',
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -60,6 +60,10 @@
       logger.write({ name: 'effectFailed', fields: { type, detail: String(error) } });
       return undefined;
     },
+    handleReducerError: ({ type }, error) => {
+      metrics.increment('events_failed_total', { type });
+      logger.write({ name: 'eventFailed', fields: { type, detail: String(error) } });
+    },
   });
   const { dispatch, getState } = routingLoop;
   const shutdown = createGracefulShutdown({
--- a/packages/routing/src/quota/persistQuotas.ts
+++ b/packages/routing/src/quota/persistQuotas.ts
@@ -27,8 +27,11 @@
   if (!isDue || state.isLeaving || !isQuotaWindowKnown(state, settings, nowMs)) {
     return createStepResult(state);
   }
+  if (!isResponsibleForPersisting(state, context)) {
+    return createStepResult(state);
+  }
   const usage = getRecentQuotas(state, settings, nowMs);
-  if (Object.keys(usage).length === 0 || !isResponsibleForPersisting(state, context)) {
+  if (Object.keys(usage).length === 0) {
     return createStepResult(state);
   }
   return createStepResult(
