Router: comments of a stalled stream are no progress

Bytes of an event that is never complete did not count already.

Change: such blocks are relayed and are no progress. A slow but sound stream makes progress with each event.

--- a/packages/router/src/requests/createEventSplitter.ts
+++ b/packages/router/src/requests/createEventSplitter.ts
@@ -1,7 +1,11 @@
+import { toOptionalField } from '@parsleyhall/common';
 import type { EventSplitter } from './eventSplitter.js';
+import type { SplitBlock } from './splitBlock.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** A block of comments and empty lines, which targets send to keep a connection open. */
+const BLOCK_WITHOUT_EVENT = /^(?::[^\n]*\n|\r?\n)+$/;
 const ID_LINE = /^id: ?(.*?)\r?$/m;
 
 /** The position after the blank line that ends the first event; -1 if no event is complete. */
@@ -17,7 +21,14 @@
   return -1;
 };
 
-const readId = (bytes: Buffer): string | undefined => ID_LINE.exec(bytes.toString('latin1'))?.[1];
+const parseBlock = (bytes: Buffer): SplitBlock => {
+  const text = bytes.toString('latin1');
+  return {
+    bytes,
+    isEvent: !BLOCK_WITHOUT_EVENT.test(text),
+    ...toOptionalField('id', ID_LINE.exec(text)?.[1]),
+  };
+};
 
 /** Creates a splitter for a new stream. */
 export const createEventSplitter = (): EventSplitter => {
@@ -25,16 +36,14 @@
   return {
     push: (bytes) => {
       buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
-      const events = [];
+      const blocks: SplitBlock[] = [];
       let start = 0;
       for (let end = findEventEnd(buffered, start); end >= 0; end = findEventEnd(buffered, start)) {
-        const event = buffered.subarray(start, end);
-        const id = readId(event);
-        events.push(id === undefined ? { bytes: event } : { bytes: event, id });
+        blocks.push(parseBlock(buffered.subarray(start, end)));
         start = end;
       }
       buffered = buffered.subarray(start);
-      return events;
+      return blocks;
     },
     countIncompleteBytes: () => buffered.length,
   };
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -42,15 +42,18 @@
 
   const relayEvents = (bytes: Buffer): boolean => {
     let canAcceptMore = true;
-    for (const { bytes: event, id } of splitter.push(bytes)) {
+    for (const { bytes: block, isEvent, id } of splitter.push(bytes)) {
       const order = id === undefined ? 'next' : compareIds(relay.getLastEventId(), id);
       if (order === 'gap' && relay.countEvents() > 0) {
         reporter.reportFailure('malformed');
         return true;
       }
       if (order !== 'duplicate') {
-        canAcceptMore = relay.write(event, id);
-        reportProgress();
+        canAcceptMore = relay.write(block, id);
+        // A target that only keeps the connection open makes no progress.
+        if (isEvent) {
+          reportProgress();
+        }
       }
     }
     if (splitter.countIncompleteBytes() > MAX_EVENT_BYTES) {
--- a/packages/router/src/requests/eventSplitter.ts
+++ b/packages/router/src/requests/eventSplitter.ts
@@ -1,13 +1,9 @@
-/** One complete event of a stream. */
-interface StreamEvent {
-  readonly bytes: Buffer;
-  readonly id?: string;
-}
+import type { SplitBlock } from './splitBlock.js';
 
-/** Splits the bytes of a stream into complete events. */
+/** Splits the bytes of a stream into complete blocks, which are events or comments. */
 export interface EventSplitter {
-  /** Returns the events that these bytes complete. */
-  readonly push: (bytes: Buffer) => readonly StreamEvent[];
-  /** Length of the event that has begun and is not complete, in bytes. */
+  /** Returns the blocks that these bytes complete. */
+  readonly push: (bytes: Buffer) => readonly SplitBlock[];
+  /** Length of the block that has begun and is not complete, in bytes. */
   readonly countIncompleteBytes: () => number;
 }
