--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -18,6 +18,7 @@
 import { createGracefulShutdown } from './createGracefulShutdown.js';
 import { getClocks } from './getClocks.js';
 import { createRoutingSettings } from './createRoutingSettings.js';
+import { getRequestId } from './getRequestId.js';
 import type { PlatformLink } from './platformLink.js';
 import { recordDecision } from './recordDecision.js';
 import { registerRouterGauges } from './registerRouterGauges.js';
@@ -60,9 +61,14 @@
       logger.write({ name: 'effectFailed', fields: { type, detail: String(error) } });
       return undefined;
     },
-    handleReducerError: ({ type }, error) => {
+    handleReducerError: (event, error) => {
+      const { type } = event;
       metrics.increment('events_failed_total', { type });
       logger.write({ name: 'eventFailed', fields: { type, detail: String(error) } });
+      const requestId = getRequestId(event);
+      if (requestId !== undefined) {
+        requests.abort(requestId);
+      }
     },
   });
   const { dispatch, getState } = routingLoop;
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -3,6 +3,7 @@
 import { startRouter } from '../../src/index.js';
 import type { HeaderCodec, RouterInputs, Logger, RunningRouter } from '../../src/index.js';
 import { silentLogger } from './silentLogger.js';
+import { createTestRoute } from './createTestRoute.js';
 import type { RawTarget } from './rawTarget.js';
 
 const readHeader = (headers: IncomingHttpHeaders, name: string): string | undefined => {
@@ -43,23 +44,11 @@
   },
 };
 
-const createRoute = (kind: Route['kind']): Route => ({
-  name: kind,
-  host: '127.0.0.1',
-  pathPrefix: `/${kind}/`,
-  kind,
-  destinations: [{ service: 'one', weight: 1 }],
-  timeoutMs: 30_000,
-  objectiveMs: 20_000,
-  longestSilenceMs: 30_000,
-  priority: 0,
-  maxAttempts: 2,
-  isAnonymousAllowed: true,
-});
-
 const configuration: RoutingConfiguration = {
   version: 1,
-  routes: (['idempotent', 'nonIdempotent', 'stream', 'resumableStream'] as const).map(createRoute),
+  routes: (['idempotent', 'nonIdempotent', 'stream', 'resumableStream'] as const).map(
+    createTestRoute,
+  ),
   services: [],
   teams: [],
   limits: {
@@ -85,7 +74,8 @@
   {
     logger: logger = silentLogger,
     slots = DEFAULT_SLOTS,
-  }: { readonly logger?: Logger; readonly slots?: number } = {},
+    routes = configuration.routes,
+  }: { readonly logger?: Logger; readonly slots?: number; readonly routes?: readonly Route[] } = {},
 ): Promise<TestRouter> => {
   let inputs: RouterInputs | undefined;
   const router = await startRouter({
@@ -115,7 +105,7 @@
       [Symbol.asyncDispose]: () => Promise.resolve(),
     },
   });
-  inputs?.handleConfiguration(configuration);
+  inputs?.handleConfiguration({ ...configuration, routes });
   const listTargets = (options: { readonly slots: number }): void => {
     inputs?.handleTargets(targets.map((target) => createListedTarget(target, options.slots)));
   };
