--- /dev/null
+++ b/packages/router/src/process/createRouterInputs.ts
@@ -0,0 +1,38 @@
+import { toOptionalField } from '@parsleyhall/common';
+import type { RoutingEvent } from '@parsleyhall/routing';
+import type { CallersServer } from '../callers/callersServer.js';
+import type { PeerLink } from '../peers/peerLink.js';
+import type { RouterInputs } from './routerInputs.js';
+
+/** Creates the functions that pass the platform's state to the scheduler and to the listeners. */
+export const createRouterInputs = ({
+  dispatch,
+  callers,
+  peers,
+}: {
+  readonly dispatch: (event: RoutingEvent) => void;
+  readonly callers: CallersServer;
+  readonly peers: PeerLink;
+}): RouterInputs => ({
+  handleConfiguration: (configuration) => {
+    callers.setIdleTimeoutMs(configuration.limits.idleTimeoutMs);
+    dispatch({ type: 'configurationRead', configuration });
+  },
+  handleConfigurationConfirmed: (confirmedAt, version) => {
+    dispatch({
+      type: 'configurationConfirmed',
+      confirmedAt,
+      ...toOptionalField('version', version),
+    });
+  },
+  handleTargets: (targets) => {
+    dispatch({ type: 'targetsListed', targets });
+  },
+  handleTargetsConfirmed: () => {
+    dispatch({ type: 'targetsConfirmed' });
+  },
+  handleRestoredQuotas: (taken) => {
+    dispatch({ type: 'quotasRestored', usage: taken });
+  },
+  handlePeerAddresses: peers.addAddresses,
+});
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -1,4 +1,4 @@
-import { createEventLoop, toOptionalField } from '@parsleyhall/common';
+import { createEventLoop } from '@parsleyhall/common';
 import { createMetrics } from '@parsleyhall/metrics';
 import { newRoutingState, reduceRouting } from '@parsleyhall/routing';
 import type {
@@ -17,13 +17,14 @@
 import { createReadDelayMonitor } from '../reading/createReadDelayMonitor.js';
 import { createGracefulShutdown } from './createGracefulShutdown.js';
 import { getClocks } from './getClocks.js';
+import { createRouterInputs } from './createRouterInputs.js';
 import { createRoutingSettings } from './createRoutingSettings.js';
 import { getRequestId } from './getRequestId.js';
 import type { PlatformLink } from './platformLink.js';
-import { recordDecision } from './recordDecision.js';
 import { registerRouterGauges } from './registerRouterGauges.js';
 import type { RouterSettings } from './routerSettings.js';
 import type { RunningRouter } from './runningRouter.js';
+import { runRoutingEffect } from './runRoutingEffect.js';
 import { startMetricsServer } from './startMetricsServer.js';
 import { startReadinessServer } from './startReadinessServer.js';
 
@@ -36,7 +37,7 @@
 export const startRouter = async ({
   settings,
   codec,
-  logger: logger,
+  logger,
   platform,
 }: {
   readonly settings: RouterSettings;
@@ -56,7 +57,9 @@
     initialState: newRoutingState(createRoutingSettings(settings, incarnation), performance.now()),
     reduce: reduceRouting,
     stampEvent: (event) => ({ now: getClocks(), event }),
-    runEffect,
+    runEffect: (effect) => {
+      runRoutingEffect({ requests, peers, platform, metrics, logger }, effect);
+    },
     toFailureEvent: ({ type }, error) => {
       logger.write({ name: 'effectFailed', fields: { type, detail: String(error) } });
       return undefined;
@@ -78,7 +81,7 @@
     notifyPeers: () => {
       dispatch({ type: 'drainStarted' });
     },
-    logger: logger,
+    logger,
   });
 
   const requests = createRequestTable({
@@ -94,36 +97,6 @@
     },
   });
 
-  function runEffect(effect: RoutingEffect): void {
-    switch (effect.type) {
-      case 'send':
-        requests.startSend(effect);
-        return;
-      case 'cancelSend':
-        requests.cancelSend(effect.requestId, effect.sendId);
-        return;
-      case 'answer':
-        requests.refuse(effect.requestId, effect.refusal);
-        return;
-      case 'breakOff':
-        requests.abort(effect.requestId);
-        return;
-      case 'sendDigest':
-        peers.send(effect.digest);
-        return;
-      case 'confirmConfiguration':
-        platform.confirmConfiguration();
-        return;
-      case 'rememberQuotas':
-        platform.persistQuotaUsage(effect.usage);
-        return;
-      case 'observe':
-        recordDecision(metrics, effect);
-        logger.writeDecision(effect);
-        return;
-    }
-  }
-
   const readDelayMonitor = createReadDelayMonitor({
     getNowMs: () => performance.now(),
     reportAcceptBacklog: (connections, waitedMs) => {
@@ -138,7 +111,7 @@
     codec,
     requests,
     shutdown,
-    logger: logger,
+    logger,
     readDelayMonitor,
     startQueue: createStartQueue(readDelayMonitor, () => performance.now()),
     getMaxBodyBytes: () =>
@@ -177,29 +150,7 @@
   const callersAddress = await callers.listen(settings.callersAddress);
   logger.write({ name: 'started', fields: { address: callersAddress } });
 
-  platform.follow({
-    handleConfiguration: (configuration) => {
-      callers.setIdleTimeoutMs(configuration.limits.idleTimeoutMs);
-      dispatch({ type: 'configurationRead', configuration });
-    },
-    handleConfigurationConfirmed: (confirmedAt, version) => {
-      dispatch({
-        type: 'configurationConfirmed',
-        confirmedAt,
-        ...toOptionalField('version', version),
-      });
-    },
-    handleTargets: (targets) => {
-      dispatch({ type: 'targetsListed', targets });
-    },
-    handleTargetsConfirmed: () => {
-      dispatch({ type: 'targetsConfirmed' });
-    },
-    handleRestoredQuotas: (taken) => {
-      dispatch({ type: 'quotasRestored', usage: taken });
-    },
-    handlePeerAddresses: peers.addAddresses,
-  });
+  platform.follow(createRouterInputs({ dispatch, callers, peers }));
 
   const tickTimer = setInterval(() => {
     readDelayMonitor.recordTick();
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { ListedTarget, Route, RoutingConfiguration } from '@parsleyhall/routing';
-import { startRouter } from '../../src/index.js';
+import { getClocks, startRouter } from '../../src/index.js';
 import type { HeaderCodec, RouterInputs, Logger, RunningRouter } from '../../src/index.js';
 import { silentLogger } from './silentLogger.js';
 import { createTestRoute } from './createTestRoute.js';
@@ -106,6 +106,7 @@
     },
   });
   inputs?.handleConfiguration({ ...configuration, routes });
+  inputs?.handleConfigurationConfirmed(getClocks());
   const listTargets = (options: { readonly slots: number }): void => {
     inputs?.handleTargets(targets.map((target) => createListedTarget(target, options.slots)));
   };
