Observability: lines name the shared prompt parts of a send, and whether its response had begun

Nothing decides by them yet. The hypotheses differ in whether the requests that broke off unbegun at different crashes share a part, which no line showed.

--- a/packages/router/src/requests/requestHeaders.ts
+++ b/packages/router/src/requests/requestHeaders.ts
@@ -8,6 +8,8 @@
   readonly promptTokens?: number;
   readonly maxOutputTokens?: number;
   readonly expectedOutputTokens?: number;
+  /** Ids of the parts of the prompt that other requests may share, in order; undefined if the caller names none. */
+  readonly sharedPromptParts?: readonly string[];
   /** Id of the last event of this stream that the caller has received. */
   readonly lastEventId?: string;
 }
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -28,12 +28,12 @@
   requestSent: {
     text: 'a request was sent to a target',
     fields: [...REQUEST_FIELDS, 'sendId', 'address', 'totalInFlight', 'version'],
-    optional: OPTIONAL_REQUEST_FIELDS,
+    optional: [...OPTIONAL_REQUEST_FIELDS, 'promptParts'],
   },
   sendFailed: {
     text: 'a send ended without a complete response',
-    fields: ['requestId', 'sendId', 'target', 'failure', 'afterMs'],
-    optional: ['attemptId'],
+    fields: ['requestId', 'sendId', 'target', 'failure', 'afterMs', 'hasBegun'],
+    optional: ['attemptId', 'promptParts'],
   },
   requestQueuedAgain: {
     text: 'a request was queued again after a send',
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -19,6 +19,7 @@
     text: 'moving average of the share of sends to the target that failed, 0 to 1',
   },
   firstMs: { type: 'number', text: "milliseconds from the arrival to the response's first event" },
+  hasBegun: { type: 'boolean', text: 'the first piece of the response had arrived' },
   heldSlots: { type: 'number', text: 'slots of the service that the entry can count on' },
   isBeyondQuota: {
     type: 'boolean',
@@ -41,6 +42,10 @@
     type: 'number',
     text: 'predicted milliseconds from sending the request to the first event of its response',
   },
+  promptParts: {
+    type: 'string',
+    text: 'ids of the parts of the prompt that other requests may share, separated by commas',
+  },
   reason: { type: 'string', text: 'why the entry refused the request' },
   requestId: {
     type: 'number',
--- a/packages/routing/src/requests/arrival.ts
+++ b/packages/routing/src/requests/arrival.ts
@@ -15,6 +15,8 @@
   readonly unreadMs?: number;
   readonly promptTokens?: number;
   readonly maxOutputTokens?: number;
+  /** Ids of the parts of the prompt that other requests may share, in order; undefined if the caller names none. */
+  readonly sharedPromptParts?: readonly string[];
   /** The caller's estimate of the number of output tokens. */
   readonly expectedOutputTokens?: number;
   /** A random number in [0, 1), drawn outside of the reducer to keep it pure. */
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -38,6 +38,7 @@
     deadlineAtMs: arrivedAtMs + callerTimeoutMs,
     promptTokens: arrival.promptTokens ?? 0,
     expectedOutputTokens: arrival.expectedOutputTokens ?? arrival.maxOutputTokens ?? 0,
+    sharedPromptParts: arrival.sharedPromptParts ?? [],
     quotaCost,
     isBeyondQuota,
     triedTargetIds: [],
--- a/packages/routing/src/requests/startSend.ts
+++ b/packages/routing/src/requests/startSend.ts
@@ -4,6 +4,7 @@
 import type { StepResult } from '../steps/stepResult.js';
 import type { Candidate } from '../targets/candidate.js';
 import { updateTarget } from '../targets/updateTarget.js';
+import { describePromptParts } from './describePromptParts.js';
 import { describeRequest } from './describeRequest.js';
 import { isStream } from './isStream.js';
 import { putRequest } from './putRequest.js';
@@ -58,6 +59,7 @@
         address,
         totalInFlight,
         version: getVersion(state),
+        ...describePromptParts(request),
       },
     },
   );
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -24,6 +24,8 @@
   readonly deadlineAtMs: number;
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly sharedPromptParts: readonly string[];
   readonly quotaCost: number;
   /** Its team's quota is used up and the request was admitted within the overshoot tolerance. */
   readonly isBeyondQuota: boolean;
--- a/packages/routing/src/steps/handleSendFailure.ts
+++ b/packages/routing/src/steps/handleSendFailure.ts
@@ -1,3 +1,4 @@
+import { describePromptParts } from '../requests/describePromptParts.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
 import type { SendFailure } from '../sendFailure.js';
@@ -26,6 +27,8 @@
     target: send.targetId,
     failure,
     afterMs: Math.round(context.nowMs - send.sentAtMs),
+    hasBegun: send.firstByteAtMs !== undefined,
+    ...describePromptParts(request),
   };
   const cancelled = chainStep(startCooldown(state, send.targetId, context.nowMs), (current) =>
     createStepResult(
