Routing: prompt parts that crash targets are recognized and quarantined

Cause: a send that broke off was charged to its target alone. Nothing asked whether the request was the cause, and nothing was remembered of it, so each request with the part crashed two targets. Class: a poison message without memory across attempts, requests and entries.

Ruled out: overload, second attempts alone.

The change: sends that break off unanswered at a target that has crashed (all this entry had there broke off together, or no connection afterwards, or gone from the list) count as evidence against each of their shared parts; a target that goes on with an answer clears its parts. A part with three separate crashes and no answer is quarantined, together with the parts that were beside it each time until one of them is answered alone, so that sound requests with the same beginning go on. Evidence, answers and quarantines travel in the digests; quarantines are in the store for entries that start later or hear no other. After a minute one request is let through as a trial; the hold doubles. A request under quarantine gets 503 and the time left if it has not run, 502 if it may have. Operators: lines, two gauges, explain, and the setting trustedPromptParts, which releases.

Why it works: a part that never gets an answer is separated from all that do, within three crashes over all entries, and a verdict ends where an answer contradicts it.

The digest's record and count parsers moved to modules of their own.

--- a/packages/daemon/src/routerProcess/createFilePlatform.ts
+++ b/packages/daemon/src/routerProcess/createFilePlatform.ts
@@ -81,6 +81,7 @@
     },
     confirmConfiguration: check,
     persistQuotaUsage: () => undefined,
+    persistQuarantines: () => undefined,
     [Symbol.asyncDispose]: () => {
       clearInterval(checkTimer);
       return Promise.resolve();
--- a/packages/daemon/src/routerProcess/startRouterProcess.ts
+++ b/packages/daemon/src/routerProcess/startRouterProcess.ts
@@ -25,6 +25,7 @@
   peerAddresses: file.peers.addresses,
   retries: { ratio: file.retryRatio, slack: file.retrySlack, windowMs: file.retryWindowMs },
   quotas: { windowMs: file.quotaWindowMs, overshoot: 0, slack: 0 },
+  trustedPromptParts: file.trustedPromptParts,
   longestUnconfirmedMs: file.longestUnconfirmedMs,
   stopWithinMs: file.stopWithinMs,
 });
--- a/packages/daemon/src/settings/routerSettingsFileSchema.ts
+++ b/packages/daemon/src/settings/routerSettingsFileSchema.ts
@@ -59,6 +59,12 @@
   quotaWindowMs: milliseconds
     .default(DEFAULT_QUOTA_WINDOW_MS)
     .describe("Window of the teams' quotas"),
+  trustedPromptParts: z
+    .array(z.string().min(1))
+    .default([])
+    .describe(
+      'Ids of prompt parts that are never quarantined; naming one that is under quarantine releases it',
+    ),
   longestUnconfirmedMs: milliseconds
     .default(DEFAULT_UNCONFIRMED_MS)
     .describe(
--- a/packages/operator/src/explain/describeRefusal.ts
+++ b/packages/operator/src/explain/describeRefusal.ts
@@ -55,6 +55,8 @@
       return `its deadline passed ${getNumberField(line, 'ageMs')} ms after its arrival, during or after a send`;
     case 'outcomeUnknown':
       return 'a target that may have run it gave no complete response, and no retry was allowed';
+    case 'promptQuarantined':
+      return `requests with the prompt parts ${getTextField(line, 'promptParts')} had crashed targets and were under quarantine`;
     case 'callerGone':
       return 'its caller had disconnected before the entry, whose event loop was behind, read it';
     case 'stopping':
--- a/packages/operator/tests/explain.test.ts
+++ b/packages/operator/tests/explain.test.ts
@@ -57,6 +57,10 @@
   ],
   [{ reason: 'unknownKey', status: 401 }, 'version 3 of the configuration has no such key'],
   [{ reason: 'noRoute', status: 404, callerHost: 'a.example' }, 'matches the host a.example'],
+  [
+    { reason: 'promptQuarantined', status: 503, promptParts: '5c1e07a2' },
+    'requests with the prompt parts 5c1e07a2 had crashed targets',
+  ],
   [{ reason: 'noTarget', service: 'pool' }, 'no target of pool'],
 ])('the cause of a refusal comes from the line that refused: %j', async (fields, cause) => {
   const run = await explain('explain a7 front-1.log', { 'front-1.log': [refused(fields)] });
--- a/packages/router/src/callers/describeRefusal.ts
+++ b/packages/router/src/callers/describeRefusal.ts
@@ -9,6 +9,7 @@
   unknownKey: 'The key is not known',
   quotaExceeded: 'The team has used up its quota',
   noTarget: 'The service has no target',
+  promptQuarantined: 'A part of the prompt crashes targets',
   overloaded: 'No target has room in time',
   deadlinePassed: 'The time for the request has passed',
   refusedByTargets: 'The targets refused the request',
--- a/packages/router/src/peers/parseDigest.ts
+++ b/packages/router/src/peers/parseDigest.ts
@@ -1,12 +1,8 @@
+import { toOptionalField } from '@parsleyhall/common';
 import type { PeerDigest, RecentQuotas } from '@parsleyhall/routing';
-
-const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> =>
-  typeof value === 'object' && value !== null && !Array.isArray(value);
-
-const parseCounts = (value: unknown): Readonly<Record<string, number>> | undefined =>
-  isRecord(value) && Object.values(value).every((count) => Number.isFinite(count))
-    ? (value as Readonly<Record<string, number>>)
-    : undefined;
+import { isRecord } from './isRecord.js';
+import { parseCounts } from './parseCounts.js';
+import { parsePromptReport } from './parsePromptReport.js';
 
 const parseRecentQuotas = (value: unknown): RecentQuotas | undefined =>
   isRecord(value) &&
@@ -35,7 +31,11 @@
   const inFlight = parseCounts(value.digest.inFlight);
   const quotaTaken = parseCounts(value.digest.quotaTaken);
   const quotaRecent = parseRecentQuotas(value.digest.quotaRecent);
+  const promptReport = parsePromptReport(value.digest.promptReport);
+  const isPromptReportMalformed =
+    value.digest.promptReport !== undefined && promptReport === undefined;
   if (
+    isPromptReportMalformed ||
     typeof host !== 'string' ||
     typeof incarnation !== 'number' ||
     typeof sequence !== 'number' ||
@@ -58,6 +58,7 @@
       quotaRecent,
       tellsRecent: value.digest.tellsRecent === true,
       knowsWindow: value.digest.knowsWindow === true,
+      ...toOptionalField('promptReport', promptReport),
       isLeaving: isLeaving === true,
     },
     knownAddresses: value.known.filter((address) => typeof address === 'string'),
--- a/packages/router/src/process/createRouterInputs.ts
+++ b/packages/router/src/process/createRouterInputs.ts
@@ -34,5 +34,8 @@
   handleRestoredQuotas: (taken) => {
     dispatch({ type: 'quotasRestored', usage: taken });
   },
+  handleQuarantines: (quarantines) => {
+    dispatch({ type: 'quarantinesRead', quarantines });
+  },
   handlePeerAddresses: peers.addAddresses,
 });
--- a/packages/router/src/process/createRoutingSettings.ts
+++ b/packages/router/src/process/createRoutingSettings.ts
@@ -3,7 +3,7 @@
 
 /** Selects the scheduler's settings from those of the router. */
 export const createRoutingSettings = (
-  { host, dataCentre, retries, quotas, longestUnconfirmedMs }: RouterSettings,
+  { host, dataCentre, retries, quotas, trustedPromptParts, longestUnconfirmedMs }: RouterSettings,
   incarnation: number,
 ): RoutingSettings => ({
   host,
@@ -11,5 +11,6 @@
   dataCentre,
   retries,
   quotas,
+  trustedPromptParts,
   longestUnconfirmedMs,
 });
--- a/packages/router/src/process/platformLink.ts
+++ b/packages/router/src/process/platformLink.ts
@@ -1,4 +1,4 @@
-import type { RecentQuotas } from '@parsleyhall/routing';
+import type { RecentQuotas, SharedQuarantine } from '@parsleyhall/routing';
 import type { RouterInputs } from './routerInputs.js';
 
 /** The interface between a router and the platform that it runs on. */
@@ -9,4 +9,6 @@
   readonly confirmConfiguration: () => void;
   /** Stores the quota usage for entries that start later; a failure is only logged. */
   readonly persistQuotaUsage: (taken: RecentQuotas) => void;
+  /** Stores the quarantines of prompt parts for all entries; a failure is only logged. */
+  readonly persistQuarantines: (quarantines: readonly SharedQuarantine[]) => void;
 }
--- a/packages/router/src/process/registerRouterGauges.ts
+++ b/packages/router/src/process/registerRouterGauges.ts
@@ -50,6 +50,8 @@
       retriesLeft.reduce((least, count) => Math.min(least, count), state.settings.retries.slack),
     );
   });
+  metrics.registerGauge('prompts_quarantined', () => getState().promptFaults.quarantines.size);
+  metrics.registerGauge('prompt_parts_suspected', () => getState().promptFaults.suspicions.size);
   metrics.registerGauge(
     'event_loop_delay_p99_ms',
     () => eventLoopDelay.percentile(P99_PERCENTILE) / NANOSECONDS_PER_MS,
--- a/packages/router/src/process/routerInputs.ts
+++ b/packages/router/src/process/routerInputs.ts
@@ -3,6 +3,7 @@
   ListedTarget,
   RecentQuotas,
   RoutingConfiguration,
+  SharedQuarantine,
 } from '@parsleyhall/routing';
 
 /** Functions through which the platform passes its state to the router. */
@@ -18,5 +19,7 @@
   readonly handleTargetsConfirmed: () => void;
   /** Passes the quota usage in the window before this start. */
   readonly handleRestoredQuotas: (taken: RecentQuotas) => void;
+  /** Passes the stored quarantines of prompt parts, and again when they change. */
+  readonly handleQuarantines: (quarantines: readonly SharedQuarantine[]) => void;
   readonly handlePeerAddresses: (addresses: readonly string[]) => void;
 }
--- a/packages/router/src/process/routerSettings.ts
+++ b/packages/router/src/process/routerSettings.ts
@@ -18,6 +18,8 @@
   readonly peerAddresses: readonly string[];
   readonly retries: RetryPolicy;
   readonly quotas: QuotaPolicy;
+  /** Prompt parts that are never quarantined, whatever speaks against them. */
+  readonly trustedPromptParts: readonly string[];
   /** Requests with a key are refused if the configuration was last confirmed longer ago than this, in milliseconds. */
   readonly longestUnconfirmedMs: number;
   /** Time from a stop's signal until the process must have exited, in milliseconds. */
--- a/packages/router/src/process/runRoutingEffect.ts
+++ b/packages/router/src/process/runRoutingEffect.ts
@@ -45,6 +45,9 @@
     case 'rememberQuotas':
       platform.persistQuotaUsage(effect.usage);
       return;
+    case 'rememberQuarantines':
+      platform.persistQuarantines(effect.quarantines);
+      return;
     case 'observe':
       recordDecision(metrics, effect);
       logger.writeDecision(effect);
--- a/packages/router/tests/peerLink.test.ts
+++ b/packages/router/tests/peerLink.test.ts
@@ -14,6 +14,11 @@
   quotaRecent: {},
   tellsRecent: false,
   knowsWindow: true,
+  promptReport: {
+    evidence: [{ targetStart: 'target@1', ageMs: 20, parts: ['a1'] }],
+    cleared: { b2: 10 },
+    quarantines: [{ parts: ['a1'], ageMs: 5, leftMs: 100, holdMs: 200 }],
+  },
   isLeaving: false,
 };
 
@@ -71,6 +76,11 @@
       good.replace('"configurationVersion":1', '"configurationVersion":1e300'),
       good.replace('"inFlight":{}', '"inFlight":{"target":"many"}'),
       good.replace('"known":[]', '"known":7'),
+      good.replace('"isLeaving":false', '"promptReport":{"evidence":7}'),
+      good.replace(
+        '"isLeaving":false',
+        '"promptReport":{"evidence":[],"cleared":{},"quarantines":[{"parts":[]}]}',
+      ),
       good.slice(0, -5),
     ];
     messages.forEach((message) => {
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -91,6 +91,7 @@
       peerAddresses: [],
       retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
       quotas: { windowMs: 8_000, overshoot: 0, slack: 0 },
+      trustedPromptParts: [],
       longestUnconfirmedMs: 4_850,
       stopWithinMs: 8_000,
     },
@@ -102,6 +103,7 @@
       },
       confirmConfiguration: () => undefined,
       persistQuotaUsage: () => undefined,
+      persistQuarantines: () => undefined,
       [Symbol.asyncDispose]: () => Promise.resolve(),
     },
   });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -26,6 +26,8 @@
 export type { SendFailure } from './sendFailure.js';
 export type { TimestampedRoutingEvent } from './timestampedRoutingEvent.js';
 export type { TeamQuota } from './configuration/teamQuota.js';
+export type { PromptReport } from './quarantine/promptReport.js';
+export type { SharedQuarantine } from './quarantine/sharedQuarantine.js';
 export type { RecentQuotas } from './quota/recentQuotas.js';
 export type { QuotaPolicy } from './quota/quotaPolicy.js';
 export type { RetryPolicy } from './retries/retryPolicy.js';
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import { newPromptFaults } from './quarantine/newPromptFaults.js';
 import type { RoutingSettings } from './routingSettings.js';
 import type { RoutingState } from './routingState.js';
 
@@ -20,6 +21,7 @@
   latencyModels: Map(),
   quotasKnownSinceMs: nowMs,
   quotasPersistedAtMs: nowMs,
+  promptFaults: newPromptFaults(),
   nextSendId: 1,
   digestSequence: 0,
   digestSentAtMs: -Infinity,
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -64,6 +64,7 @@
       'cost',
       'perSecond',
       'burst',
+      'promptParts',
     ],
   },
   requestBrokenOff: {
@@ -96,6 +97,26 @@
     fields: ['peer'],
     optional: [],
   },
+  promptQuarantined: {
+    text: 'requests with all of these prompt parts are refused, since they crash targets',
+    fields: ['promptParts', 'restMs', 'source'],
+    optional: ['crashes'],
+  },
+  promptQuarantineNarrowed: {
+    text: 'of the parts of a quarantine only these are left, since a target answered with the others',
+    fields: ['promptParts'],
+    optional: [],
+  },
+  promptTried: {
+    text: 'a request under quarantine is let through to see whether it still crashes a target',
+    fields: ['promptParts', 'requestId'],
+    optional: [],
+  },
+  promptReleased: {
+    text: 'a quarantine ended because a target answered a request with its parts',
+    fields: ['promptParts'],
+    optional: [],
+  },
   targetListed: {
     text: 'a target is new in the list, or its record has changed',
     fields: ['target', 'service', 'address', 'isLeaving'],
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -12,6 +12,10 @@
     text: 'milliseconds since the configuration was last confirmed; -1 before the first confirmation',
   },
   cost: { type: 'number', text: "the request's cost in the unit of the team's quota" },
+  crashes: {
+    type: 'number',
+    text: 'separate crashes of targets that requests with these prompt parts explain',
+  },
   events: { type: 'number', text: 'events of the response; 0 for a non-streaming one' },
   failure: { type: 'string', text: 'how a send ended without a complete response' },
   failureShare: {
@@ -51,7 +55,10 @@
     type: 'number',
     text: 'number of the request, unique within one start of the entry',
   },
-  restMs: { type: 'number', text: 'milliseconds for which the target gets no new work' },
+  restMs: {
+    type: 'number',
+    text: 'milliseconds for which the target gets no new work, or the quarantine is held',
+  },
   result: {
     type: 'string',
     text: 'whether the previous send may have run: neverSent, notRun or unknown',
@@ -66,6 +73,10 @@
   sends: { type: 'number', text: 'sends of the request so far' },
   service: { type: 'string', text: 'name of the service' },
   silentMs: { type: 'number', text: 'milliseconds since the other entry was last heard' },
+  source: {
+    type: 'string',
+    text: 'how the entry came to the quarantine: crashes that it weighed, a peer or the store',
+  },
   status: { type: 'number', text: "status of the entry's own response" },
   targetStatus: { type: 'number', text: "status of the target's response" },
   target: { type: 'string', text: 'id of the target' },
--- a/packages/routing/src/peers/handleDigest.ts
+++ b/packages/routing/src/peers/handleDigest.ts
@@ -1,7 +1,9 @@
 import { chargeQuota } from '../quota/chargeQuota.js';
+import { mergePromptReport } from '../quarantine/mergePromptReport.js';
 import { mergeRecentQuotas } from '../quota/mergeRecentQuotas.js';
 import { newQuotaAccount } from '../quota/newQuotaAccount.js';
 import type { RoutingState } from '../routingState.js';
+import { chainStep } from '../steps/chainStep.js';
 import { createStepResult } from '../steps/createStepResult.js';
 import type { StepResult } from '../steps/stepResult.js';
 import type { StepContext } from '../steps/stepContext.js';
@@ -66,11 +68,16 @@
       isLost: false,
     }),
   };
-  return known?.isLost === false
-    ? createStepResult(updated)
-    : createStepResult(updated, {
-        type: 'observe',
-        name: 'peerHeard',
-        fields: { peer: digest.host },
-      });
+  const heard =
+    known?.isLost === false
+      ? createStepResult(updated)
+      : createStepResult(updated, {
+          type: 'observe',
+          name: 'peerHeard',
+          fields: { peer: digest.host },
+        });
+  const { promptReport } = digest;
+  return promptReport === undefined
+    ? heard
+    : chainStep(heard, (current) => mergePromptReport(current, promptReport, context));
 };
--- a/packages/routing/src/peers/newDigest.ts
+++ b/packages/routing/src/peers/newDigest.ts
@@ -1,4 +1,6 @@
+import { toOptionalField } from '@parsleyhall/common';
 import { getVersion } from '../configuration/getVersion.js';
+import { newPromptReport } from '../quarantine/newPromptReport.js';
 import { getRecentQuotas } from '../quota/getRecentQuotas.js';
 import { isQuotaWindowKnown } from '../quota/isQuotaWindowKnown.js';
 import type { RoutingState } from '../routingState.js';
@@ -10,7 +12,11 @@
   [...peers.values()].some((peer) => !peer.digest.knowsWindow && isPeerAlive(peer, nowMs));
 
 /** The digest that this entry now sends to the others. */
-export const newDigest = (state: RoutingState, { settings, nowMs }: StepContext): PeerDigest => {
+export const newDigest = (
+  state: RoutingState,
+  { settings, nowMs }: StepContext,
+  { tellsPrompts }: { readonly tellsPrompts: boolean },
+): PeerDigest => {
   const tellsRecent = hasPeerWithoutHistory(state, nowMs);
   return {
     host: settings.host,
@@ -28,6 +34,7 @@
     quotaRecent: tellsRecent ? getRecentQuotas(state, settings, nowMs) : {},
     tellsRecent,
     knowsWindow: isQuotaWindowKnown(state, settings, nowMs),
+    ...(tellsPrompts ? toOptionalField('promptReport', newPromptReport(state, nowMs)) : {}),
     isLeaving: state.isLeaving,
   };
 };
--- a/packages/routing/src/peers/peerDigest.ts
+++ b/packages/routing/src/peers/peerDigest.ts
@@ -1,3 +1,4 @@
+import type { PromptReport } from '../quarantine/promptReport.js';
 import type { RecentQuotas } from '../quota/recentQuotas.js';
 
 /** What an entry reports to the others. Each digest is complete, so that a lost one does no harm. */
@@ -19,6 +20,8 @@
   readonly tellsRecent: boolean;
   /** Whether the entry knows all usage of the latest window. */
   readonly knowsWindow: boolean;
+  /** News about prompt parts that crash targets; left out while there is none. */
+  readonly promptReport?: PromptReport;
   /** The entry is shutting down and admits nothing more after this digest. */
   readonly isLeaving: boolean;
 }
--- /dev/null
+++ b/packages/routing/src/quarantine/shareQuarantines.ts
@@ -0,0 +1,15 @@
+import type { Map } from 'immutable';
+import type { Quarantine } from './quarantine.js';
+import type { SharedQuarantine } from './sharedQuarantine.js';
+
+/** The quarantines in the form in which entries pass them on. */
+export const shareQuarantines = (
+  quarantines: Map<string, Quarantine>,
+  nowMs: number,
+): readonly SharedQuarantine[] =>
+  [...quarantines.values()].map(({ parts, decidedAtMs, heldUntilMs, holdMs }) => ({
+    parts,
+    ageMs: Math.round(nowMs - decidedAtMs),
+    leftMs: Math.round(heldUntilMs - nowMs),
+    holdMs,
+  }));
--- a/packages/routing/src/quota/persistQuotas.ts
+++ b/packages/routing/src/quota/persistQuotas.ts
@@ -1,4 +1,4 @@
-import { isPeerAlive } from '../peers/isPeerAlive.js';
+import { isResponsibleForPersisting } from '../peers/isResponsibleForPersisting.js';
 import type { RoutingState } from '../routingState.js';
 import { createStepResult } from '../steps/createStepResult.js';
 import type { StepResult } from '../steps/stepResult.js';
@@ -8,15 +8,6 @@
 
 const PERSIST_PERIOD_MS = 1_000;
 
-const isResponsibleForPersisting = (
-  state: RoutingState,
-  { settings, nowMs }: StepContext,
-): boolean =>
-  [...state.peers.values()].every(
-    (peer) =>
-      !isPeerAlive(peer, nowMs) || peer.digest.isLeaving || settings.host < peer.digest.host,
-  );
-
 /**
  * Periodically persists the recent quota usage outside of the entries, so that it survives a stop of all of them. Among
  * the entries that hear one another, the one whose host name sorts first writes for all.
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -3,6 +3,8 @@
 import { indexConfiguration } from './configuration/indexConfiguration.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import { handleDigest } from './peers/handleDigest.js';
+import { mergeQuarantines } from './quarantine/mergeQuarantines.js';
+import { recordSendFailure } from './quarantine/recordSendFailure.js';
 import { restoreQuotas } from './quota/restoreQuotas.js';
 import type { RoutingEffect } from './routingEffect.js';
 import type { RoutingEvent } from './routingEvent.js';
@@ -75,7 +77,12 @@
       const request = findRequestBySend(state, event.requestId, event.sendId);
       return request === undefined
         ? createStepResult(state)
-        : handleSendFailure(state, request, event.failure, context);
+        : handleSendFailure(
+            recordSendFailure(state, request, event.failure, context.nowMs),
+            request,
+            event.failure,
+            context,
+          );
     }
     case 'configurationRead':
       return applyConfiguration(state, event.configuration);
@@ -89,6 +96,8 @@
       return handleDigest(state, event.digest, context);
     case 'quotasRestored':
       return createStepResult(restoreQuotas(state, event.usage, context));
+    case 'quarantinesRead':
+      return mergeQuarantines(state, event.quarantines, 'store', context.nowMs);
     case 'settingsRead':
       return createStepResult({ ...state, settings: event.settings });
     case 'drainStarted':
--- a/packages/routing/src/requests/refusalReason.ts
+++ b/packages/routing/src/requests/refusalReason.ts
@@ -7,6 +7,7 @@
   | 'unknownKey'
   | 'quotaExceeded'
   | 'noTarget'
+  | 'promptQuarantined'
   | 'overloaded'
   | 'deadlinePassed'
   | 'refusedByTargets'
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -1,5 +1,6 @@
 import type { Observation } from './observations/observation.js';
 import type { PeerDigest } from './peers/peerDigest.js';
+import type { SharedQuarantine } from './quarantine/sharedQuarantine.js';
 import type { RecentQuotas } from './quota/recentQuotas.js';
 import type { Refusal } from './requests/refusal.js';
 
@@ -26,6 +27,8 @@
   | { readonly type: 'sendDigest'; readonly digest: PeerDigest }
   /** Persists the recent quota usage for entries that start after all have stopped. */
   | { readonly type: 'rememberQuotas'; readonly usage: RecentQuotas }
+  /** Persists the quarantines of prompt parts for entries that start later or hear no other one. */
+  | { readonly type: 'rememberQuarantines'; readonly quarantines: readonly SharedQuarantine[] }
   /** Checks immediately whether the configuration is still the newest. */
   | { readonly type: 'confirmConfiguration' }
   | Observation;
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -2,6 +2,7 @@
 import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
 import type { PeerDigest } from './peers/peerDigest.js';
+import type { SharedQuarantine } from './quarantine/sharedQuarantine.js';
 import type { RecentQuotas } from './quota/recentQuotas.js';
 import type { Arrival } from './requests/arrival.js';
 import type { RoutingSettings } from './routingSettings.js';
@@ -38,6 +39,8 @@
   | { readonly type: 'digestReceived'; readonly digest: PeerDigest }
   /** The persisted quota usage from before this entry started was read. */
   | { readonly type: 'quotasRestored'; readonly usage: RecentQuotas }
+  /** The persisted quarantines of prompt parts were read, or have changed. */
+  | { readonly type: 'quarantinesRead'; readonly quarantines: readonly SharedQuarantine[] }
   | { readonly type: 'settingsRead'; readonly settings: RoutingSettings }
   /** The entry is about to stop. */
   | { readonly type: 'drainStarted' }
--- a/packages/routing/src/routingSettings.ts
+++ b/packages/routing/src/routingSettings.ts
@@ -9,6 +9,8 @@
   readonly dataCentre: string;
   readonly retries: RetryPolicy;
   readonly quotas: QuotaPolicy;
+  /** Prompt parts that are never quarantined, whatever speaks against them. */
+  readonly trustedPromptParts: readonly string[];
   /**
    * Requests that need a key are refused if the configuration was last confirmed longer ago than this, in
    * milliseconds.
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -4,6 +4,7 @@
 import type { RoutingIndex } from './configuration/routingIndex.js';
 import type { AdmittedLoad } from './load/admittedLoad.js';
 import type { Peer } from './peers/peer.js';
+import type { PromptFaults } from './quarantine/promptFaults.js';
 import type { QuotaAccount } from './quota/quotaAccount.js';
 import type { TrackedRequest } from './requests/trackedRequest.js';
 import type { RoutingSettings } from './routingSettings.js';
@@ -53,6 +54,7 @@
   readonly quotasKnownSinceMs: number;
   /** When this entry last persisted the quota usage, in milliseconds of the monotonic clock. */
   readonly quotasPersistedAtMs: number;
+  readonly promptFaults: PromptFaults;
   readonly nextSendId: number;
   readonly digestSequence: number;
   /** When the latest digest was sent, in milliseconds of the monotonic clock; -Infinity if one is due now. */
--- a/packages/routing/src/steps/handleArrival.ts
+++ b/packages/routing/src/steps/handleArrival.ts
@@ -5,6 +5,7 @@
 import { describeWait } from '../queue/describeWait.js';
 import type { QueuePrediction } from '../queue/queuePrediction.js';
 import { predictQueueing } from '../queue/predictQueueing.js';
+import { admitPrompt } from '../quarantine/admitPrompt.js';
 import { consumeQuota } from '../quota/consumeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
 import { describeRequest } from '../requests/describeRequest.js';
@@ -78,6 +79,19 @@
   return isWaiting ? createStepResult(state, observation) : createStepResult(state);
 };
 
+const reportTrial = (
+  state: RoutingState,
+  promptParts: string | undefined,
+  { requestId }: TrackedRequest,
+): StepResult =>
+  promptParts === undefined
+    ? createStepResult(state)
+    : createStepResult(state, {
+        type: 'observe',
+        name: 'promptTried',
+        fields: { promptParts, requestId },
+      });
+
 /** The refusal of a request if no target will take it before its caller gives up; undefined if one will. */
 const getUnavailableRefusal = (
   state: RoutingState,
@@ -129,10 +143,15 @@
   if (admission.type === 'refused') {
     return refuseArrival(state, arrival, admission.refusal, context);
   }
+  const promptAdmission = admitPrompt(state, arrival.sharedPromptParts ?? [], context);
+  if (promptAdmission.type === 'refused') {
+    const { refusal, promptParts } = promptAdmission;
+    return refuseArrival(state, arrival, refusal, context, { promptParts });
+  }
   const { route, service, team } = admission;
   const { promptTokens, maxOutputTokens } = arrival;
   const tokens = promptTokens === undefined ? undefined : promptTokens + (maxOutputTokens ?? 0);
-  const counted = countForRetryBudget(state, service, 'request', context);
+  const counted = countForRetryBudget(promptAdmission.state, service, 'request', context);
   const charge = consumeQuota(counted, team, tokens, context);
   if (charge.waitMs > 0) {
     const refusal = {
@@ -157,5 +176,6 @@
     isBeyondQuota: charge.isBeyondQuota,
     nowMs,
   });
-  return enqueueOrRefuse(charge.state, request, context);
+  const trial = reportTrial(charge.state, promptAdmission.trialOf, request);
+  return chainStep(trial, (current) => enqueueOrRefuse(current, request, context));
 };
--- a/packages/routing/src/steps/handleResponseEnd.ts
+++ b/packages/routing/src/steps/handleResponseEnd.ts
@@ -1,3 +1,5 @@
+import { clearParts } from '../quarantine/clearParts.js';
+import { hasProvenItself } from '../quarantine/hasProvenItself.js';
 import { releaseSend } from '../requests/releaseSend.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { isStream } from '../requests/isStream.js';
@@ -50,5 +52,10 @@
       },
     },
   );
-  return chainStep(ended, (current) => dispatchWaiting(current, service, context));
+  const cleared = hasProvenItself(send)
+    ? ended
+    : chainStep(ended, (current) =>
+        clearParts(current, request.sharedPromptParts, { atMs: nowMs, isHere: true }),
+      );
+  return chainStep(cleared, (current) => dispatchWaiting(current, service, context));
 };
--- a/packages/routing/src/steps/handleResponseProgress.ts
+++ b/packages/routing/src/steps/handleResponseProgress.ts
@@ -1,3 +1,5 @@
+import { clearParts } from '../quarantine/clearParts.js';
+import { hasProvenItself } from '../quarantine/hasProvenItself.js';
 import { putRequest } from '../requests/putRequest.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
@@ -29,12 +31,15 @@
         : { longestGapMs: Math.max(send.longestGapMs ?? 0, nowMs - send.lastByteAtMs) }),
     },
   });
-  return createStepResult(
-    isFirst
-      ? updateTarget(next, send.targetId, (target) => ({
-          ...target,
-          pendingPromptTokens: Math.max(0, target.pendingPromptTokens - request.promptTokens),
-        }))
-      : next,
-  );
+  if (isFirst) {
+    return createStepResult(
+      updateTarget(next, send.targetId, (target) => ({
+        ...target,
+        pendingPromptTokens: Math.max(0, target.pendingPromptTokens - request.promptTokens),
+      })),
+    );
+  }
+  return hasProvenItself(send)
+    ? createStepResult(next)
+    : clearParts(next, request.sharedPromptParts, { atMs: nowMs, isHere: true });
 };
--- a/packages/routing/src/steps/handleTargetList.ts
+++ b/packages/routing/src/steps/handleTargetList.ts
@@ -1,5 +1,7 @@
 import { Map } from 'immutable';
 import type { Observation } from '../observations/observation.js';
+import { confirmCrash } from '../quarantine/confirmCrash.js';
+import { getTargetStart } from '../quarantine/getTargetStart.js';
 import type { RoutingState } from '../routingState.js';
 import type { ListedTarget } from '../targets/listedTarget.js';
 import { newTarget } from '../targets/newTarget.js';
@@ -40,6 +42,17 @@
     }),
 ];
 
+/** Counts targets that are gone or have started again as crashed if sends broke off there. */
+const confirmEndedTargets = (state: RoutingState, after: Map<string, Target>): RoutingState =>
+  state.promptFaults.suspicions.isEmpty()
+    ? state
+    : [...state.targets]
+        .filter(
+          ([id, { listed }]) =>
+            after.get(id)?.listed.startedAtMs !== listed.startedAtMs || !after.has(id),
+        )
+        .reduce((current, [id]) => confirmCrash(current, getTargetStart(state, id)), state);
+
 /** Replaces the list of targets and keeps what was learned about those that remain. */
 export const handleTargetList = (
   state: RoutingState,
@@ -57,7 +70,8 @@
     ({ reportedAtMs }, id) => next.has(id) || context.nowMs - reportedAtMs < REPORT_RETENTION_MS,
   );
   const changes = getChangeObservations(state.targets, next);
-  const updated = createStepResult({ ...state, targets: next, targetReports }, ...changes);
+  const confirmed = confirmEndedTargets(state, next);
+  const updated = createStepResult({ ...confirmed, targets: next, targetReports }, ...changes);
   return chainStep(updated, (current) =>
     runStepForEach(current, current.waiting.keys(), (next, service) =>
       dispatchWaiting(next, service, context),
--- a/packages/routing/src/steps/handleTick.ts
+++ b/packages/routing/src/steps/handleTick.ts
@@ -1,6 +1,9 @@
 import { applyUnusedConfirmation } from '../configuration/applyUnusedConfirmation.js';
 import { reportLostPeers } from '../peers/reportLostPeers.js';
 import { sendDigestIfDue } from '../peers/sendDigestIfDue.js';
+import { decideQuarantines } from '../quarantine/decideQuarantines.js';
+import { dropOldSuspicions } from '../quarantine/dropOldSuspicions.js';
+import { persistQuarantines } from '../quarantine/persistQuarantines.js';
 import { persistQuotas } from '../quota/persistQuotas.js';
 import type { RoutingState } from '../routingState.js';
 import { chainStep } from './chainStep.js';
@@ -19,7 +22,10 @@
   const peersChecked = chainStep(clocksChecked, (current) =>
     reportLostPeers(current, context.nowMs),
   );
-  const requestsChecked = chainStep(peersChecked, (current) =>
+  const promptsChecked = chainStep(peersChecked, (current) =>
+    decideQuarantines(dropOldSuspicions(current, context.nowMs), context),
+  );
+  const requestsChecked = chainStep(promptsChecked, (current) =>
     runStepForEach(current, current.requests.keys(), (next, requestId) => {
       const request = next.requests.get(requestId);
       return request === undefined ? createStepResult(next) : checkTimeouts(next, request, context);
@@ -34,5 +40,8 @@
     ),
   );
   const quotasPersisted = chainStep(dispatched, (current) => persistQuotas(current, context));
-  return chainStep(quotasPersisted, (current) => sendDigestIfDue(current, context));
+  const quarantinesPersisted = chainStep(quotasPersisted, (current) =>
+    persistQuarantines(current, context),
+  );
+  return chainStep(quarantinesPersisted, (current) => sendDigestIfDue(current, context));
 };
--- a/packages/routing/src/steps/retryOrRefuse.ts
+++ b/packages/routing/src/steps/retryOrRefuse.ts
@@ -1,4 +1,6 @@
 import { predictQueueing } from '../queue/predictQueueing.js';
+import { findQuarantine } from '../quarantine/findQuarantine.js';
+import { getQuarantineRefusal } from '../quarantine/getQuarantineRefusal.js';
 import { releaseSend } from '../requests/releaseSend.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
@@ -29,7 +31,8 @@
   result: SendResult,
   context: StepContext,
 ): boolean => {
-  if (request.sends >= MAX_SENDS_PER_REQUEST) {
+  const isQuarantined = findQuarantine(state, request.sharedPromptParts) !== undefined;
+  if (request.sends >= MAX_SENDS_PER_REQUEST || isQuarantined) {
     return false;
   }
   switch (result) {
@@ -42,14 +45,19 @@
   }
 };
 
-const getRefusal = (state: RoutingState, request: TrackedRequest, nowMs: number): Refusal =>
-  request.mayHaveRun
+const getRefusal = (state: RoutingState, request: TrackedRequest, nowMs: number): Refusal => {
+  const quarantine = findQuarantine(state, request.sharedPromptParts);
+  if (quarantine !== undefined) {
+    return getQuarantineRefusal(quarantine, request.mayHaveRun, nowMs);
+  }
+  return request.mayHaveRun
     ? { status: 502, reason: 'outcomeUnknown' }
     : {
         status: 503,
         reason: 'refusedByTargets',
         retryAfterMs: getRetryAfterMs(predictQueueing(state, request, nowMs).waitMs),
       };
+};
 
 const toWaiting = (request: TrackedRequest, result: SendResult): TrackedRequest => {
   const waiting = removeSend(request);
--- a/packages/routing/src/targets/target.ts
+++ b/packages/routing/src/targets/target.ts
@@ -1,3 +1,4 @@
+import type { BrokenSends } from './brokenSends.js';
 import type { ListedTarget } from './listedTarget.js';
 
 /** A listed target and what this entry has learned about it. */
@@ -12,6 +13,8 @@
    * ends.
    */
   readonly serviceTimeMs?: number;
+  /** Sends of this entry that broke off there lately; undefined if none has. */
+  readonly brokenSends?: BrokenSends;
   /** Moving average of the share of sends that failed, from 0 to 1. */
   readonly failureShare: number;
   /**
--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -1,4 +1,6 @@
 import { describe, expect, it } from 'vitest';
+import type { RoutingEffect, RoutingSettings, SharedQuarantine } from '../src/index.js';
+import type { RoutingHarness } from './support/routingHarness.js';
 import { RoutingWorld } from './support/routingWorld.js';
 
 /** The time within which all entries have to know, in milliseconds after the fifth crash. */
@@ -7,12 +9,17 @@
 const TOLERATED_SENDS = 3;
 const DEADLY = 'deadly';
 const FIRST_PARTS = ['alpha', 'beta', 'gamma'];
+/** Longer than a quarantine is held at first, and than the entries take turns to start a trial. */
+const FIRST_HOLD_MS = 70_000;
 
 const SIZES = [
   { entryCount: 4, targetCount: 13, perSecond: 40 },
   { entryCount: 18, targetCount: 40, perSecond: 120 },
   { entryCount: 68, targetCount: 87, perSecond: 250 },
 ];
+const SMALL = { entryCount: 4, targetCount: 13 };
+const SMALL_ENTRIES = [0, 1, 2, 3];
+const SMALL_LOAD = 40;
 
 const getFirstPart = (count: number): string =>
   FIRST_PARTS[(count * 7) % FIRST_PARTS.length] ?? 'alpha';
@@ -21,11 +28,36 @@
 const chooseParts = (count: number): readonly string[] =>
   count % 20 === 0 ? [getFirstPart(count), DEADLY] : [getFirstPart(count)];
 
+const chooseSound = (count: number): readonly string[] => [getFirstPart(count)];
+
 const countLateSends = (world: RoutingWorld, part: string): number => {
   const fifthCrashAtMs = world.crashesAtMs[4] ?? Infinity;
   return world.countArrivals(({ parts }) => parts.includes(part), fifthCrashAtMs + REACTION_MS);
 };
 
+const createWorldWithQuarantine = (): RoutingWorld => {
+  const world = new RoutingWorld(SMALL);
+  world.deadlyParts.add(DEADLY);
+  world.runWithLoad(10_000, SMALL_LOAD, chooseParts);
+  return world;
+};
+
+const isRefused = (entry: RoutingHarness | undefined, requestId: number): boolean =>
+  entry?.getRefusal(requestId)?.reason === 'promptQuarantined';
+
+const getQuarantined = (entry: RoutingHarness | undefined): readonly string[] => [
+  ...(entry?.state.promptFaults.quarantines.keys() ?? []),
+];
+
+const findPersisted = (entries: readonly RoutingHarness[]): readonly SharedQuarantine[] =>
+  entries
+    .flatMap(({ effects }) => effects)
+    .filter(
+      (effect): effect is Extract<RoutingEffect, { type: 'rememberQuarantines' }> =>
+        effect.type === 'rememberQuarantines',
+    )
+    .at(-1)?.quarantines ?? [];
+
 describe('a part of prompts that crashes targets', () => {
   // Guards against requests with one part crashing target after target, since nothing is remembered of a request that
   // did.
@@ -39,4 +71,147 @@
       expect(countLateSends(world, DEADLY)).toBeLessThanOrEqual(TOLERATED_SENDS);
     },
   );
+
+  // Guards against a verdict that covers sound requests because they share a first part with those that crash targets.
+  it('does not keep sound requests with the same first parts from being answered', () => {
+    const world = createWorldWithQuarantine();
+    const calmFromMs = world.nowMs;
+    world.runWithLoad(10_000, SMALL_LOAD, chooseParts);
+    const sound = world.begun.filter(({ atMs }) => atMs >= calmFromMs).length;
+    expect(sound).toBeGreaterThan(0.9 * SMALL_LOAD * 0.95 * 10);
+  });
+
+  // Guards against a part that is recognized only while it is the only one.
+  it('is recognized beside a second one', () => {
+    const world = new RoutingWorld(SMALL);
+    world.deadlyParts.add(DEADLY).add('second');
+    world.runWithLoad(15_000, SMALL_LOAD, (count) =>
+      count % 33 === 5 ? [getFirstPart(count), 'second'] : chooseParts(count),
+    );
+    expect(countLateSends(world, DEADLY) + countLateSends(world, 'second')).toBeLessThanOrEqual(
+      2 * TOLERATED_SENDS,
+    );
+  });
+
+  // Guards against a verdict on the first part when it has only been seen together with the one that crashes targets.
+  it('is told apart from a part that was always beside it once that is answered alone', () => {
+    const world = new RoutingWorld(SMALL);
+    world.deadlyParts.add(DEADLY);
+    world.runWithLoad(5_000, SMALL_LOAD, (count) => (count % 20 === 0 ? ['rare', DEADLY] : []));
+    expect(getQuarantined(world.entries[0])).toEqual([`${DEADLY},rare`]);
+    world.runWithLoad(2_000, SMALL_LOAD, (count) => (count % 20 === 0 ? ['rare'] : []));
+    world.entries.forEach((entry) => {
+      expect(getQuarantined(entry)).toEqual([DEADLY]);
+    });
+  });
+
+  it('is refused with the time after which it is worth another try, as not run', () => {
+    const world = createWorldWithQuarantine();
+    const refusal = world.entries[1]?.getRefusal(world.arrive(1, ['alpha', DEADLY]));
+    expect(refusal).toMatchObject({ status: 503, reason: 'promptQuarantined' });
+    expect(refusal?.retryAfterMs).toBeGreaterThan(10_000);
+  });
+
+  // Guards against targets that are lost to requests that were on their way before the verdict.
+  it('is taken back from targets that have not begun with it', () => {
+    const world = new RoutingWorld(SMALL);
+    const requestId = world.arrive(0, [DEADLY]);
+    const [entry] = world.entries;
+    const quarantines = [{ parts: [DEADLY], ageMs: 0, leftMs: 60_000, holdMs: 60_000 }];
+    entry?.dispatch({ type: 'quarantinesRead', quarantines });
+    expect(entry?.effects.some(({ type }) => type === 'cancelSend')).toBe(true);
+    expect(entry?.getRefusal(requestId)).toEqual({ status: 502, reason: 'promptQuarantined' });
+  });
+
+  // Guards against entries that start later and crash targets to learn what the others know.
+  it('is known to an entry that starts later', () => {
+    const world = createWorldWithQuarantine();
+    const entry = world.restartEntry(2);
+    world.run(3_000);
+    expect(isRefused(entry, world.arrive(2, ['alpha', DEADLY]))).toBe(true);
+  });
+
+  // Guards against a restart of all entries at once, which leaves none that could tell.
+  it('is known from the store after all entries have restarted', () => {
+    const world = createWorldWithQuarantine();
+    const quarantines = findPersisted(world.entries);
+    expect(quarantines).toHaveLength(1);
+    const [entry] = SMALL_ENTRIES.map((index) => world.restartEntry(index));
+    entry?.dispatch({ type: 'quarantinesRead', quarantines });
+    world.run(1_000);
+    expect(isRefused(entry, world.arrive(0, ['alpha', DEADLY]))).toBe(true);
+  });
+
+  it('is persisted by one entry', () => {
+    const world = createWorldWithQuarantine();
+    const writers = world.entries.filter(({ effects }) =>
+      effects.some(({ type }) => type === 'rememberQuarantines'),
+    );
+    expect(writers).toHaveLength(1);
+  });
+
+  // Guards against a verdict that never ends.
+  it('is let through once after the hold, and released everywhere if it is answered', () => {
+    const world = createWorldWithQuarantine();
+    world.deadlyParts.clear();
+    world.run(FIRST_HOLD_MS);
+    const fromMs = world.nowMs;
+    world.runWithLoad(3_000, SMALL_LOAD, chooseParts);
+    expect(world.countArrivals(({ parts }) => parts.includes(DEADLY), fromMs)).toBeGreaterThan(1);
+    world.entries.forEach((entry) => {
+      expect(getQuarantined(entry)).toEqual([]);
+    });
+  });
+
+  // Guards against trials that crash target after target while the cause is still there.
+  it('crashes one target more after the hold if it still does, and is held for longer', () => {
+    const world = createWorldWithQuarantine();
+    world.run(FIRST_HOLD_MS);
+    const before = world.crashesAtMs.length;
+    world.runWithLoad(60_000, SMALL_LOAD, chooseParts);
+    expect(world.crashesAtMs.length - before).toBe(1);
+  });
+
+  it('is not refused if the operator trusts it', () => {
+    const world = createWorldWithQuarantine();
+    const [entry] = world.entries;
+    const settings = { ...world.entries[0]?.state.settings, trustedPromptParts: [DEADLY] };
+    entry?.dispatch({ type: 'settingsRead', settings: settings as RoutingSettings });
+    expect(isRefused(entry, world.arrive(0, ['alpha', DEADLY]))).toBe(false);
+  });
+});
+
+describe('crashes that no prompt causes', () => {
+  // Guards against a verdict on parts of sound prompts that were at targets which crashed for another reason.
+  it('quarantine nothing if many targets crash at the same moment', () => {
+    const world = new RoutingWorld(SMALL);
+    world.runWithLoad(2_000, 80, chooseSound);
+    for (let target = 0; target < SMALL.targetCount; target += 1) {
+      world.crash(target);
+    }
+    world.runWithLoad(6_000, 80, chooseSound);
+    expect(world.entries.flatMap(getQuarantined)).toEqual([]);
+  });
+
+  it('quarantine nothing if targets crash one after the other', () => {
+    const world = new RoutingWorld(SMALL);
+    for (let target = 0; target < SMALL.targetCount; target += 1) {
+      world.runWithLoad(500, 80, chooseSound);
+      world.crash(target);
+    }
+    expect(world.entries.flatMap(getQuarantined)).toEqual([]);
+  });
+
+  // Guards against taking a target that resets single requests for one that crashes.
+  it('are not assumed at a target that breaks off single sends and goes on with others', () => {
+    const world = new RoutingWorld({ entryCount: 1, targetCount: 4 });
+    const [entry] = world.entries;
+    for (let count = 0; count < 40; count += 1) {
+      world.arrive(0, ['sound']);
+      const requestId = world.arrive(0, ['unlucky']);
+      entry?.failSend(requestId);
+      world.run(500);
+    }
+    expect(getQuarantined(entry)).toEqual([]);
+  });
 });
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -33,6 +33,7 @@
       dataCentre: 'here',
       retries: { ratio: 0.2, windowMs: 10_000, slack: 50 },
       quotas: { windowMs: 8_000, overshoot: 0, slack: 0 },
+      trustedPromptParts: [],
       longestUnconfirmedMs: 4_850,
       ...settings,
     };
--- a/packages/routing/tests/support/routingWorld.ts
+++ b/packages/routing/tests/support/routingWorld.ts
@@ -136,7 +136,9 @@
       this.nowMs += TICK_MS;
       this.advanceTargets();
       this.entries.forEach((entry, index) => {
-        entry.advance(this.nowMs - entry.nowMs);
+        entry.nowMs = this.nowMs;
+        entry.confirmConfiguration();
+        entry.dispatch({ type: 'ticked' });
         this.handleEffects(index);
       });
     }
@@ -200,6 +202,7 @@
 
   private deliver(from: number, digest: PeerDigest): void {
     this.entries.forEach((entry, index) => {
+      entry.nowMs = this.nowMs;
       if (index !== from && !this.cutEntries.has(index) && !this.cutEntries.has(from)) {
         entry.dispatch({ type: 'digestReceived', digest });
       }
