Observability: a line for each change of the limit that a target names

The limit is decoded from responses, kept by target and start, and targetLimitChanged tells when an entry reads it. Nothing decides by it yet. The lines before could not tell a limit that is not read from one that each entry keeps for itself.

--- a/packages/router/src/requests/responseHeaders.ts
+++ b/packages/router/src/requests/responseHeaders.ts
@@ -8,6 +8,8 @@
   readonly isNotRun: boolean;
   /** The target states that it is draining: it takes no new work and is about to leave. */
   readonly isLeaving: boolean;
+  /** The requests per second that the target takes from all entries together; undefined if it names no limit. */
+  readonly limitPerSecond?: number;
   /** The target rejected the request and asks this entry to send nothing for this long, in milliseconds. */
   readonly refusesForMs?: number;
 }
--- a/packages/routing/src/newRoutingState.ts
+++ b/packages/routing/src/newRoutingState.ts
@@ -11,6 +11,7 @@
   startedAtMs: nowMs,
   targets: Map(),
   targetReports: Map(),
+  targetLimits: Map(),
   requests: Map(),
   waiting: Map(),
   peers: Map(),
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -137,6 +137,11 @@
     fields: ['target', 'service', 'restMs'],
     optional: [],
   },
+  targetLimitChanged: {
+    text: 'a target named another limit on the requests that it takes from all entries together, or none',
+    fields: ['target', 'source'],
+    optional: ['limitPerSecond'],
+  },
   targetRests: {
     text: 'a target is on cooldown after a failed send and gets no new work for a while',
     fields: ['target', 'service', 'restMs', 'failureShare'],
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -35,6 +35,10 @@
     text: 'milliseconds by which the wall clock and the monotonic clock drifted apart',
   },
   leftMs: { type: 'number', text: 'milliseconds until the deadline' },
+  limitPerSecond: {
+    type: 'number',
+    text: 'requests per second that the target takes from all entries together',
+  },
   longestGapMs: {
     type: 'number',
     text: 'longest pause in the response after its first bytes, in milliseconds; may be up to 100 too long',
@@ -75,7 +79,7 @@
   silentMs: { type: 'number', text: 'milliseconds since the other entry was last heard' },
   source: {
     type: 'string',
-    text: 'how the entry came to the quarantine: crashes that it weighed, a peer or the store',
+    text: 'where the entry has this from: crashes that it weighed, the target, a peer or the store',
   },
   status: { type: 'number', text: "status of the entry's own response" },
   targetStatus: { type: 'number', text: "status of the target's response" },
--- a/packages/routing/src/quarantine/recordSendFailure.ts
+++ b/packages/routing/src/quarantine/recordSendFailure.ts
@@ -5,7 +5,7 @@
 import { updateTarget } from '../targets/updateTarget.js';
 import { addEvidence } from './addEvidence.js';
 import { confirmCrash } from './confirmCrash.js';
-import { getTargetStart } from './getTargetStart.js';
+import { getTargetStart } from '../targets/getTargetStart.js';
 import { hasProvenItself } from './hasProvenItself.js';
 import { updatePromptFaults } from './updatePromptFaults.js';
 
--- a/packages/routing/src/responseHead.ts
+++ b/packages/routing/src/responseHead.ts
@@ -9,6 +9,8 @@
   readonly isMismatched: boolean;
   /** The target reports that it is draining: it accepts no new work and will shut down. */
   readonly isLeaving: boolean;
+  /** The requests per second that the target takes from all entries together; undefined if it names no limit. */
+  readonly limitPerSecond?: number;
   /** How long the target refuses further requests of this entry, in milliseconds; undefined if it does not. */
   readonly refusesForMs?: number;
 }
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -3,6 +3,7 @@
 import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingIndex } from './configuration/routingIndex.js';
 import type { AdmittedLoad } from './load/admittedLoad.js';
+import type { TargetLimit } from './limits/targetLimit.js';
 import type { Peer } from './peers/peer.js';
 import type { PromptFaults } from './quarantine/promptFaults.js';
 import type { QuotaAccount } from './quota/quotaAccount.js';
@@ -32,6 +33,8 @@
   readonly targets: Map<string, Target>;
   /** What targets reported about themselves in responses, by target id, including targets that are not listed now. */
   readonly targetReports: Map<string, TargetReport>;
+  /** Limits that targets named in responses, by target and start. */
+  readonly targetLimits: Map<string, TargetLimit>;
   /** All requests without a final response, by request id. */
   readonly requests: Map<number, TrackedRequest>;
   /** Queued requests, which have no current send, by service and request id. */
--- a/packages/routing/src/steps/handleResponseHead.ts
+++ b/packages/routing/src/steps/handleResponseHead.ts
@@ -1,4 +1,5 @@
 import type { ResponseHead } from '../responseHead.js';
+import { recordTargetLimit } from '../limits/recordTargetLimit.js';
 import { putRequest } from '../requests/putRequest.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import { canRunAgain } from '../retries/canRunAgain.js';
@@ -55,6 +56,16 @@
   return createStepResult(putRequest(state, answered));
 };
 
+const recordStatements = (
+  state: RoutingState,
+  targetId: string,
+  head: ResponseHead,
+  nowMs: number,
+): StepResult =>
+  chainStep(recordTargetReport(state, targetId, head, nowMs), (current) =>
+    recordTargetLimit(current, targetId, head, nowMs),
+  );
+
 /** Decides by the head of a response whether it is forwarded or the send counts as failed. */
 export const handleResponseHead = (
   state: RoutingState,
@@ -64,6 +75,6 @@
 ): StepResult =>
   request.send === undefined
     ? createStepResult(state)
-    : chainStep(recordTargetReport(state, request.send.targetId, head, context.nowMs), (current) =>
+    : chainStep(recordStatements(state, request.send.targetId, head, context.nowMs), (current) =>
         evaluateHead(current, request, head, context),
       );
--- a/packages/routing/src/steps/handleTargetList.ts
+++ b/packages/routing/src/steps/handleTargetList.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import type { Observation } from '../observations/observation.js';
 import { confirmCrash } from '../quarantine/confirmCrash.js';
-import { getTargetStart } from '../quarantine/getTargetStart.js';
+import { getTargetStart } from '../targets/getTargetStart.js';
 import type { RoutingState } from '../routingState.js';
 import type { ListedTarget } from '../targets/listedTarget.js';
 import { newTarget } from '../targets/newTarget.js';
