--- a/packages/routing/tests/support/routingWorld.ts
+++ b/packages/routing/tests/support/routingWorld.ts
@@ -1,3 +1,4 @@
+import { toOptionalField } from '@parsleyhall/common';
 import type { ListedTarget, PeerDigest, RoutingEffect, RoutingSettings } from '../../src/index.js';
 import { GOOD_HEAD } from './goodHead.js';
 import { newConfiguration } from './newConfiguration.js';
@@ -28,6 +29,8 @@
   upAgainAtMs: number | undefined;
   runs: Run[];
   starts: number;
+  /** Requests per second that it states to take from all entries; undefined while it states none. */
+  limitPerSecond: number | undefined;
 }
 
 /** What reached a target. */
@@ -76,6 +79,7 @@
       upAgainAtMs: undefined,
       runs: [],
       starts: 0,
+      limitPerSecond: undefined,
     }));
     this.entries = Array.from({ length: entryCount }, (_, index) =>
       this.createEntry(index, settings),
@@ -97,6 +101,13 @@
     return entry;
   }
 
+  setLimit(targetIndex: number, limitPerSecond: number | undefined): void {
+    const target = this.targets[targetIndex];
+    if (target !== undefined) {
+      target.limitPerSecond = limitPerSecond;
+    }
+  }
+
   arrive(entryIndex: number, parts: readonly string[] = []): number {
     const entry = this.entries[entryIndex];
     if (entry === undefined) {
@@ -234,7 +245,8 @@
       nextEventAtMs: this.nowMs + FIRST_EVENT_AFTER_MS,
       events: 0,
     });
-    entry.dispatch({ type: 'responseHeadReceived', requestId, sendId, head: GOOD_HEAD });
+    const head = { ...GOOD_HEAD, ...toOptionalField('limitPerSecond', target.limitPerSecond) };
+    entry.dispatch({ type: 'responseHeadReceived', requestId, sendId, head });
   }
 
   private advanceTargets(): void {
