Routing: the limit that a target names is kept over all entries

What callers saw: nothing but a slower target; a target in need got ten times what it had asked for, which is how it fails for good.

Cause: the limit in a target's responses was read nowhere. Class: a statement of a target that is not part of the decision to send, and a quota on a shared resource that no single entry can keep. Teams' quotas count use in digests; that does not carry over, since at 1.2 requests a second even one request an entry between two digests is too many.

Ruled out: a limit known to each entry alone (no line, no change at any entry), second attempts (12 of 757 sends failed).

The change: the limit is kept by target and start for as long as its responses name it, and told in digests with its age, its end as well. It is divided among a few of the live entries by rendezvous hashing, at least 2 a second each (one entry below that); the others send nothing there. A share accrues with time, starts at nothing and keeps half a second at most. All sends take from it, second attempts too. A limited target counts as free only as far as the allowance goes, also in the prediction of waits. A target that takes nothing is tried every ten seconds.

Why it works: the shares add up to the limit without any message between the sends, whatever the number of entries; entries that disagree on who is alive do so for a second, and a new sharer starts at nothing.

Ruled out as a design: use told in digests as for quotas (overshoots by the number of entries), an even split (shares below one request in the window at 68 entries).

--- a/packages/router/src/peers/parseDigest.ts
+++ b/packages/router/src/peers/parseDigest.ts
@@ -2,6 +2,7 @@
 import type { PeerDigest, RecentQuotas } from '@parsleyhall/routing';
 import { isRecord } from './isRecord.js';
 import { parseCounts } from './parseCounts.js';
+import { parseLimits } from './parseLimits.js';
 import { parsePromptReport } from './parsePromptReport.js';
 
 const parseRecentQuotas = (value: unknown): RecentQuotas | undefined =>
@@ -34,8 +35,10 @@
   const promptReport = parsePromptReport(value.digest.promptReport);
   const isPromptReportMalformed =
     value.digest.promptReport !== undefined && promptReport === undefined;
+  const targetLimits = parseLimits(value.digest.targetLimits ?? []);
   if (
     isPromptReportMalformed ||
+    targetLimits === undefined ||
     typeof host !== 'string' ||
     typeof incarnation !== 'number' ||
     typeof sequence !== 'number' ||
@@ -58,6 +61,7 @@
       quotaRecent,
       tellsRecent: value.digest.tellsRecent === true,
       knowsWindow: value.digest.knowsWindow === true,
+      ...(targetLimits.length === 0 ? {} : { targetLimits }),
       ...toOptionalField('promptReport', promptReport),
       isLeaving: isLeaving === true,
     },
--- a/packages/router/src/process/registerRouterGauges.ts
+++ b/packages/router/src/process/registerRouterGauges.ts
@@ -50,6 +50,9 @@
       retriesLeft.reduce((least, count) => Math.min(least, count), state.settings.retries.slack),
     );
   });
+  metrics.registerGauge('targets_limited', () =>
+    getState().targetLimits.count(({ perSecond }) => perSecond !== undefined),
+  );
   metrics.registerGauge('prompts_quarantined', () => getState().promptFaults.quarantines.size);
   metrics.registerGauge('prompt_parts_suspected', () => getState().promptFaults.suspicions.size);
   metrics.registerGauge(
--- a/packages/router/tests/peerLink.test.ts
+++ b/packages/router/tests/peerLink.test.ts
@@ -14,6 +14,10 @@
   quotaRecent: {},
   tellsRecent: false,
   knowsWindow: true,
+  targetLimits: [
+    { target: 'target', targetStart: 'target@1', perSecond: 2.9, ageMs: 30 },
+    { target: 'other', targetStart: 'other@', ageMs: 10 },
+  ],
   promptReport: {
     evidence: [{ targetStart: 'target@1', ageMs: 20, parts: ['a1'] }],
     cleared: { b2: 10 },
@@ -77,6 +81,7 @@
       good.replace('"inFlight":{}', '"inFlight":{"target":"many"}'),
       good.replace('"known":[]', '"known":7'),
       good.replace('"isLeaving":false', '"promptReport":{"evidence":7}'),
+      good.replace('"isLeaving":false', '"targetLimits":[{"target":"one"}]'),
       good.replace(
         '"isLeaving":false',
         '"promptReport":{"evidence":[],"cleared":{},"quarantines":[{"parts":[]}]}',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -26,6 +26,7 @@
 export type { SendFailure } from './sendFailure.js';
 export type { TimestampedRoutingEvent } from './timestampedRoutingEvent.js';
 export type { TeamQuota } from './configuration/teamQuota.js';
+export type { SharedLimit } from './limits/sharedLimit.js';
 export type { PromptReport } from './quarantine/promptReport.js';
 export type { SharedQuarantine } from './quarantine/sharedQuarantine.js';
 export type { RecentQuotas } from './quota/recentQuotas.js';
--- a/packages/routing/src/peers/handleDigest.ts
+++ b/packages/routing/src/peers/handleDigest.ts
@@ -1,4 +1,5 @@
 import { chargeQuota } from '../quota/chargeQuota.js';
+import { mergeLimits } from '../limits/mergeLimits.js';
 import { mergePromptReport } from '../quarantine/mergePromptReport.js';
 import { mergeRecentQuotas } from '../quota/mergeRecentQuotas.js';
 import { newQuotaAccount } from '../quota/newQuotaAccount.js';
@@ -76,8 +77,9 @@
           name: 'peerHeard',
           fields: { peer: digest.host },
         });
-  const { promptReport } = digest;
+  const { promptReport, targetLimits = [] } = digest;
+  const limited = chainStep(heard, (current) => mergeLimits(current, targetLimits, context.nowMs));
   return promptReport === undefined
-    ? heard
-    : chainStep(heard, (current) => mergePromptReport(current, promptReport, context));
+    ? limited
+    : chainStep(limited, (current) => mergePromptReport(current, promptReport, context));
 };
--- a/packages/routing/src/peers/newDigest.ts
+++ b/packages/routing/src/peers/newDigest.ts
@@ -1,5 +1,6 @@
 import { toOptionalField } from '@parsleyhall/common';
 import { getVersion } from '../configuration/getVersion.js';
+import { shareLimits } from '../limits/shareLimits.js';
 import { newPromptReport } from '../quarantine/newPromptReport.js';
 import { getRecentQuotas } from '../quota/getRecentQuotas.js';
 import { isQuotaWindowKnown } from '../quota/isQuotaWindowKnown.js';
@@ -17,6 +18,7 @@
   { settings, nowMs }: StepContext,
   { tellsPrompts }: { readonly tellsPrompts: boolean },
 ): PeerDigest => {
+  const targetLimits = shareLimits(state, nowMs);
   const tellsRecent = hasPeerWithoutHistory(state, nowMs);
   return {
     host: settings.host,
@@ -34,6 +36,7 @@
     quotaRecent: tellsRecent ? getRecentQuotas(state, settings, nowMs) : {},
     tellsRecent,
     knowsWindow: isQuotaWindowKnown(state, settings, nowMs),
+    ...(targetLimits.length === 0 ? {} : { targetLimits }),
     ...(tellsPrompts ? toOptionalField('promptReport', newPromptReport(state, nowMs)) : {}),
     isLeaving: state.isLeaving,
   };
--- a/packages/routing/src/peers/peerDigest.ts
+++ b/packages/routing/src/peers/peerDigest.ts
@@ -1,3 +1,4 @@
+import type { SharedLimit } from '../limits/sharedLimit.js';
 import type { PromptReport } from '../quarantine/promptReport.js';
 import type { RecentQuotas } from '../quota/recentQuotas.js';
 
@@ -20,6 +21,8 @@
   readonly tellsRecent: boolean;
   /** Whether the entry knows all usage of the latest window. */
   readonly knowsWindow: boolean;
+  /** Limits that targets stated to the entry; left out while there are none. */
+  readonly targetLimits?: readonly SharedLimit[];
   /** News about prompt parts that crash targets; left out while there is none. */
   readonly promptReport?: PromptReport;
   /** The entry is shutting down and admits nothing more after this digest. */
--- a/packages/routing/src/queue/createWaitPredictor.ts
+++ b/packages/routing/src/queue/createWaitPredictor.ts
@@ -23,9 +23,9 @@
   rankedRequest: RankedRequest,
   ahead: { readonly count: number; readonly workMs: number },
 ) => PredictedWait) => {
-  const capacities = getCandidates(state, service, nowMs).map(({ target, totalInFlight }) => ({
+  const capacities = getCandidates(state, service, nowMs).map(({ target, freeSlots }) => ({
     slots: target.listed.slots,
-    free: Math.max(0, target.listed.slots - totalInFlight),
+    free: freeSlots,
     used: target.inFlight,
   }));
   const freeSlots = capacities.reduce((sum, target) => sum + target.free, 0);
--- a/packages/routing/src/requests/startSend.ts
+++ b/packages/routing/src/requests/startSend.ts
@@ -1,4 +1,5 @@
 import { getVersion } from '../configuration/getVersion.js';
+import { takeAllowance } from '../limits/takeAllowance.js';
 import type { RoutingState } from '../routingState.js';
 import { createStepResult } from '../steps/createStepResult.js';
 import type { StepResult } from '../steps/stepResult.js';
@@ -33,7 +34,8 @@
     sends: waiting.sends + 1,
     mayHaveRun: true,
   };
-  const withLoad = updateTarget(putRequest(state, request), id, (known) => ({
+  const charged = takeAllowance(putRequest(state, request), id);
+  const withLoad = updateTarget(charged, id, (known) => ({
     ...known,
     inFlight: known.inFlight + 1,
     pendingPromptTokens: known.pendingPromptTokens + request.promptTokens,
--- a/packages/routing/src/routingState.ts
+++ b/packages/routing/src/routingState.ts
@@ -35,6 +35,8 @@
   readonly targetReports: Map<string, TargetReport>;
   /** Limits that targets named in responses, by target and start. */
   readonly targetLimits: Map<string, TargetLimit>;
+  /** When the allowances under these limits last accrued, in milliseconds of the monotonic clock. */
+  readonly lastAccrualMs?: number;
   /** All requests without a final response, by request id. */
   readonly requests: Map<number, TrackedRequest>;
   /** Queued requests, which have no current send, by service and request id. */
--- a/packages/routing/src/steps/dispatchWaiting.ts
+++ b/packages/routing/src/steps/dispatchWaiting.ts
@@ -39,9 +39,7 @@
     if (chosen !== undefined) {
       result = chainStep(result, (current) => startSend(current, request, chosen, nowMs));
       candidates = getCandidates(result.state, service, nowMs);
-    } else if (
-      candidates.every((candidate) => candidate.totalInFlight >= candidate.target.listed.slots)
-    ) {
+    } else if (candidates.every(({ freeSlots }) => freeSlots === 0)) {
       return result;
     }
   }
--- a/packages/routing/src/steps/handleTargetList.ts
+++ b/packages/routing/src/steps/handleTargetList.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import { dropOldLimits } from '../limits/dropOldLimits.js';
 import type { Observation } from '../observations/observation.js';
 import { confirmCrash } from '../quarantine/confirmCrash.js';
 import { getTargetStart } from '../targets/getTargetStart.js';
@@ -71,7 +72,9 @@
   );
   const changes = getChangeObservations(state.targets, next);
   const confirmed = confirmEndedTargets(state, next);
-  const updated = createStepResult({ ...confirmed, targets: next, targetReports }, ...changes);
+  const listed = { ...confirmed, targets: next, targetReports };
+  const targetLimits = dropOldLimits(listed, context.nowMs);
+  const updated = createStepResult({ ...listed, targetLimits }, ...changes);
   return chainStep(updated, (current) =>
     runStepForEach(current, current.waiting.keys(), (next, service) =>
       dispatchWaiting(next, service, context),
--- a/packages/routing/src/steps/handleTick.ts
+++ b/packages/routing/src/steps/handleTick.ts
@@ -1,4 +1,5 @@
 import { applyUnusedConfirmation } from '../configuration/applyUnusedConfirmation.js';
+import { accrueAllowances } from '../limits/accrueAllowances.js';
 import { reportLostPeers } from '../peers/reportLostPeers.js';
 import { sendDigestIfDue } from '../peers/sendDigestIfDue.js';
 import { decideQuarantines } from '../quarantine/decideQuarantines.js';
@@ -18,7 +19,8 @@
 
 /** Runs the periodic checks of all requests and sends a digest to the other entries. */
 export const handleTick = (state: RoutingState, context: StepContext): StepResult => {
-  const clocksChecked = detectClockJump(applyUnusedConfirmation(state, context), context);
+  const accrued = accrueAllowances(state, context);
+  const clocksChecked = detectClockJump(applyUnusedConfirmation(accrued, context), context);
   const peersChecked = chainStep(clocksChecked, (current) =>
     reportLostPeers(current, context.nowMs),
   );
--- a/packages/routing/src/targets/chooseTarget.ts
+++ b/packages/routing/src/targets/chooseTarget.ts
@@ -10,8 +10,7 @@
  */
 const USABLE_TIME_SHARE = 0.8;
 
-const hasFreeSlot = ({ candidate: { target, totalInFlight } }: TargetPrediction): boolean =>
-  totalInFlight < target.listed.slots;
+const hasFreeSlot = ({ candidate: { freeSlots } }: TargetPrediction): boolean => freeSlots > 0;
 
 const findCheapest = (predictions: readonly TargetPrediction[]): TargetPrediction | undefined =>
   predictions.reduce<TargetPrediction | undefined>(
--- a/packages/routing/src/targets/getCandidates.ts
+++ b/packages/routing/src/targets/getCandidates.ts
@@ -1,8 +1,9 @@
+import { getAllowedSends } from '../limits/getAllowedSends.js';
 import type { RoutingState } from '../routingState.js';
 import type { Candidate } from './candidate.js';
 import { isAcceptingWork } from './isAcceptingWork.js';
 
-/** The targets of a service that accept new work, with the requests that all live entries have in flight there. */
+/** The targets of a service to which this entry may send new work, if not at once. */
 export const getCandidates = (
   state: RoutingState,
   service: string,
@@ -10,7 +11,12 @@
 ): readonly Candidate[] =>
   [...state.targets.values()]
     .filter(({ listed }) => listed.service === service && isAcceptingWork(state, listed, nowMs))
-    .map((target) => ({
-      target,
-      totalInFlight: target.inFlight + (state.peerInFlight.get(target.listed.id) ?? 0),
-    }));
+    .flatMap((target) => {
+      const allowed = getAllowedSends(state, target.listed.id);
+      if (allowed?.hasShare === false) {
+        return [];
+      }
+      const totalInFlight = target.inFlight + (state.peerInFlight.get(target.listed.id) ?? 0);
+      const slotsLeft = Math.max(0, target.listed.slots - totalInFlight);
+      return [{ target, totalInFlight, freeSlots: Math.min(slotsLeft, allowed?.now ?? slotsLeft) }];
+    });
--- a/packages/routing/tests/support/routingWorld.ts
+++ b/packages/routing/tests/support/routingWorld.ts
@@ -49,7 +49,7 @@
   readonly crashesAtMs: number[] = [];
   readonly begun: { readonly atMs: number; readonly parts: readonly string[] }[] = [];
   readonly deadlyParts = new Set<string>();
-  readonly cutEntries = new Set<number>();
+  private readonly stoppedEntries = new Set<number>();
   nowMs = 120_000;
   private readonly targets: WorldTarget[];
   private readonly handledEffects: number[];
@@ -101,6 +101,13 @@
     return entry;
   }
 
+  /** Lets an entry announce its stop and then be silent; its callers go to the others. */
+  stopEntry(index: number): void {
+    this.entries[index]?.dispatch({ type: 'drainStarted' });
+    this.run(TICK_MS);
+    this.stoppedEntries.add(index);
+  }
+
   setLimit(targetIndex: number, limitPerSecond: number | undefined): void {
     const target = this.targets[targetIndex];
     if (target !== undefined) {
@@ -134,7 +141,8 @@
       const due = Math.floor(((passedMs + TICK_MS) * perSecond) / 1_000);
       const before = Math.floor((passedMs * perSecond) / 1_000);
       for (let count = before; count < due; count += 1) {
-        this.arrive(this.arrivedCount % this.entries.length, choose(this.arrivedCount));
+        const open = [...this.entries.keys()].filter((index) => !this.stoppedEntries.has(index));
+        this.arrive(open[this.arrivedCount % open.length] ?? 0, choose(this.arrivedCount));
         this.arrivedCount += 1;
       }
       this.run(TICK_MS);
@@ -147,6 +155,9 @@
       this.nowMs += TICK_MS;
       this.advanceTargets();
       this.entries.forEach((entry, index) => {
+        if (this.stoppedEntries.has(index)) {
+          return;
+        }
         entry.nowMs = this.nowMs;
         entry.confirmConfiguration();
         entry.dispatch({ type: 'ticked' });
@@ -214,7 +225,7 @@
   private deliver(from: number, digest: PeerDigest): void {
     this.entries.forEach((entry, index) => {
       entry.nowMs = this.nowMs;
-      if (index !== from && !this.cutEntries.has(index) && !this.cutEntries.has(from)) {
+      if (index !== from && !this.stoppedEntries.has(index)) {
         entry.dispatch({ type: 'digestReceived', digest });
       }
     });
