Router: a broken response without framing headers ends with a reset

What callers saw: a stream without Content-Length and Transfer-Encoding whose target broke off, or ended inside an event, ended at the caller as if it were complete.

Cause: the caller's connection was closed in order. With chunks the missing last chunk tells that the response is incomplete; without framing headers only a reset does.

Evidence: two of the four new tests failed before (the stream ends inside an event, in order and with a reset: the caller read an orderly end); the splitter itself had counted the half event as broken off.

The change: the relay breaks off its response itself, with a reset where the head went out without framing headers. Responses with framing are closed as before, since a reset may take back events that the caller has not read yet.

--- a/packages/router/src/callers/createRelay.ts
+++ b/packages/router/src/callers/createRelay.ts
@@ -60,5 +60,12 @@
       sendHead(body.length);
       response.end(body);
     },
+    breakOff: () => {
+      // A response without framing headers ends with its connection, so only a reset tells that it is incomplete.
+      if (response.headersSent && head?.hasFraming === false) {
+        response.socket?.resetAndDestroy();
+      }
+      response.destroy();
+    },
   };
 };
--- a/packages/router/src/callers/relay.ts
+++ b/packages/router/src/callers/relay.ts
@@ -14,4 +14,6 @@
   readonly end: () => void;
   /** Sends a complete body and ends the response. */
   readonly endWithBody: (body: Buffer) => void;
+  /** Closes the caller's connection so that the response does not look complete. */
+  readonly breakOff: () => void;
 }
--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -190,7 +190,7 @@
       sendRefusal(response, refusal);
     },
     abort: (requestId) => {
-      close(requestId)?.caller.response.destroy();
+      close(requestId)?.relay.breakOff();
     },
     [Symbol.asyncDispose]: () => targetClient[Symbol.asyncDispose](),
   };
--- a/packages/router/tests/router.test.ts
+++ b/packages/router/tests/router.test.ts
@@ -132,6 +132,68 @@
   });
 });
 
+describe('a stream without framing headers', () => {
+  const UNFRAMED_STREAM_HEAD = `${RESPONSE_HEAD}Content-Type: text/event-stream\r\n\r\n`;
+  const HALF_EVENT = 'id: 2\nda';
+
+  /** How the caller's connection ended: with a reset or in order. */
+  const watchEnd = ({ socket }: RawCaller): Promise<'reset' | 'orderly'> =>
+    new Promise((resolve) => {
+      socket.once('error', () => {
+        resolve('reset');
+      });
+      socket.once('end', () => {
+        resolve('orderly');
+      });
+    });
+
+  it('is complete if it ends in order after an event', async () => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = sendRequest(router, '/stream/x');
+    const whenEnded = watchEnd(caller);
+    const { socket } = await target.nextRequest();
+    socket.end(`${UNFRAMED_STREAM_HEAD}${toEvent(1)}`);
+    expect(await whenEnded).toBe('orderly');
+    expect(await caller.whenClosed).toContain(toEvent(1));
+  });
+
+  // Guards against a stream that its target broke off inside an event and that looks complete to the caller.
+  it.each(['orderly', 'reset'] as const)(
+    'does not look complete to the caller if it ends inside an event (%s)',
+    async (end) => {
+      await using target = await startRawTarget();
+      await using router = await startTestRouter([target]);
+      const caller = sendRequest(router, '/stream/x');
+      const whenEnded = watchEnd(caller);
+      const { socket } = await target.nextRequest();
+      socket.write(`${UNFRAMED_STREAM_HEAD}${toEvent(1)}${HALF_EVENT}`);
+      await caller.waitForText(toEvent(1));
+      if (end === 'reset') {
+        socket.resetAndDestroy();
+      } else {
+        socket.end();
+      }
+      expect(await whenEnded).toBe('reset');
+    },
+  );
+
+  it('goes on at another target if it ends inside an event and may be resumed', async () => {
+    const queue = new RequestQueue();
+    await using first = await startRawTarget(queue);
+    await using second = await startRawTarget(queue);
+    await using router = await startTestRouter([first, second]);
+    const caller = sendRequest(router, '/resumableStream/x');
+    const broken = await queue.next();
+    broken.socket.end(`${UNFRAMED_STREAM_HEAD}${toEvent(1)}${HALF_EVENT}`);
+    const resumed = await queue.next();
+    expect(resumed.getHeader('last-event-id')).toBe('1');
+    resumed.socket.end(`${UNFRAMED_STREAM_HEAD}${toEvent(2)}`);
+    const answer = await caller.whenClosed;
+    expect(answer.endsWith(`${toEvent(1)}${toEvent(2)}`)).toBe(true);
+  });
+});
+
 // Guards against bytes that reach the wrong caller and against unbounded memory: a faulty target sends bytes until its
 // connection is closed.
 describe('endless bytes that are no response', () => {
--- a/packages/router/tests/streamProgress.test.ts
+++ b/packages/router/tests/streamProgress.test.ts
@@ -22,6 +22,7 @@
       },
       end: () => undefined,
       endWithBody: () => undefined,
+      breakOff: () => undefined,
     },
     {
       reportHead: () => true,
