Routing: crashes of a target are told apart by time where its list states no start

A service with one or two targets in a static list had each crash counted once per target name, so that a part could crash them for ever. The new test (one target, three crashes) failed before.

--- a/packages/routing/src/quarantine/addEvidence.ts
+++ b/packages/routing/src/quarantine/addEvidence.ts
@@ -1,5 +1,6 @@
 import type { Map } from 'immutable';
 import type { CrashEvidence } from './crashEvidence.js';
+import { isSameCrash } from './isSameCrash.js';
 import type { Suspicion } from './suspicion.js';
 
 const MAX_SUSPECTED_PARTS = 256;
@@ -19,7 +20,7 @@
 };
 
 const isSameObservation = (left: CrashEvidence, right: CrashEvidence): boolean =>
-  left.targetStart === right.targetStart && left.parts.join() === right.parts.join();
+  isSameCrash(left, right) && left.parts.join() === right.parts.join();
 
 const addToPart = (
   suspicions: Map<string, Suspicion>,
--- a/packages/routing/src/quarantine/getUnexplainedEvidence.ts
+++ b/packages/routing/src/quarantine/getUnexplainedEvidence.ts
@@ -1,5 +1,6 @@
 import type { Map } from 'immutable';
 import type { CrashEvidence } from './crashEvidence.js';
+import { isSameCrash } from './isSameCrash.js';
 import type { Quarantine } from './quarantine.js';
 import type { Suspicion } from './suspicion.js';
 
@@ -13,14 +14,12 @@
 ): Map<string, readonly CrashEvidence[]> => {
   const isExplained = ({ parts }: CrashEvidence): boolean =>
     quarantines.some((quarantine) => quarantine.parts.every((part) => parts.includes(part)));
-  const explainedCrashes = new Set(
-    [...suspicions.values()]
-      .flatMap(({ evidence }) => evidence.filter(isExplained))
-      .map(({ targetStart }) => targetStart),
+  const explained = [...suspicions.values()].flatMap(({ evidence }) =>
+    evidence.filter(isExplained),
   );
   return suspicions.map(({ evidence }) =>
     evidence.filter(
-      ({ isConfirmed, targetStart }) => isConfirmed && !explainedCrashes.has(targetStart),
+      (item) => item.isConfirmed && !explained.some((other) => isSameCrash(other, item)),
     ),
   );
 };
--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import type { RoutingEffect, RoutingSettings, SharedQuarantine } from '../src/index.js';
-import type { RoutingHarness } from './support/routingHarness.js';
+import { newConfiguration } from './support/newConfiguration.js';
+import { newTargets } from './support/newTargets.js';
+import { RoutingHarness } from './support/routingHarness.js';
 import { RoutingWorld } from './support/routingWorld.js';
 
 /** The time within which all entries have to know, in milliseconds after the fifth crash. */
@@ -105,6 +107,25 @@
     });
   });
 
+  // Guards against a service with a single target, of which the list does not tell one start from the next.
+  it('is recognized at a target that comes back under the same name', () => {
+    const entry = RoutingHarness.createReady(newConfiguration(), newTargets(1, { slots: 10 }));
+    for (let crash = 0; crash < 3; crash += 1) {
+      const requestIds = [['first', DEADLY], ['second']].map((sharedPromptParts) =>
+        entry.arrive({ sharedPromptParts }),
+      );
+      requestIds.forEach((requestId) => {
+        entry.failSend(requestId);
+      });
+      entry.advance(4_000);
+      const sound = entry.arrive({ sharedPromptParts: ['second'] });
+      entry.receiveHead(sound);
+      entry.endResponse(sound);
+      entry.advance(1_000);
+    }
+    expect(getQuarantined(entry)).toEqual([`${DEADLY},first`]);
+  });
+
   it('is refused with the time after which it is worth another try, as not run', () => {
     const world = createWorldWithQuarantine();
     const refusal = world.entries[1]?.getRefusal(world.arrive(1, ['alpha', DEADLY]));
