Soak: parts of prompts that crash targets, and targets that state a limit

The stand-in target ends all connections when it begins to answer a request with a deadly part and comes back after 0.6 s, and it states limits; up to two of each a run, from a generator of their own, so that a seed keeps its other faults. Two checks from what targets see: no more than three requests with a part after it has crashed five targets and three seconds have passed; no more than one and a half times the limit and five in some four seconds. Entries that were disturbed are excused. A stop is not blamed for a request whose target crashed. Planted faults show that the checks speak: entries told to trust the parts, targets that keep their limits to themselves.

The router's own headers: x-prompt-parts in requests, x-limit-per-second in responses.

--- a/packages/soak/src/callers/sendRequest.ts
+++ b/packages/soak/src/callers/sendRequest.ts
@@ -15,6 +15,7 @@
   port,
   agent,
   abortAfterMs,
+  promptParts,
 }: {
   readonly id: string;
   readonly kind: RequestKind;
@@ -25,13 +26,20 @@
   readonly agent: Agent | undefined;
   /** Undefined to abort it at its deadline only. */
   readonly abortAfterMs: number | undefined;
+  /** Parts of the prompt that other requests may share. */
+  readonly promptParts: readonly string[];
 }): { readonly sent: SentRequest; readonly whenClosed: Promise<void> } => {
   const sent: SentRequest = { id, kind, entry, sentMs: getNowMs(), body: '', isWhole: false };
   const request = startRequest({
     host: ip,
     port,
     path: `/${kind}/x`,
-    headers: { host: '127.0.0.1', 'x-request-id': id, 'x-deadline-ms': String(DEADLINE_MS) },
+    headers: {
+      host: '127.0.0.1',
+      'x-request-id': id,
+      'x-deadline-ms': String(DEADLINE_MS),
+      ...(promptParts.length === 0 ? {} : { 'x-prompt-parts': promptParts.join(',') }),
+    },
     agent: agent ?? false,
   });
   const abortTimer = setTimeout(() => {
--- a/packages/soak/src/callers/startCallers.ts
+++ b/packages/soak/src/callers/startCallers.ts
@@ -8,6 +8,8 @@
 
 const SEND_INTERVAL_MS = 20;
 const REQUEST_KINDS: readonly RequestKind[] = ['idempotent', 'nonIdempotent', 'stream'];
+/** Prompts begin with one of so many parts. */
+const FIRST_PARTS = 5;
 const ABORTED_SHARE = 0.3;
 const MAX_ABORT_DELAY_MS = 250;
 const KEEP_ALIVE_SHARE = 0.4;
@@ -29,6 +31,13 @@
   let sentCount = 0;
   let dueCount = 0;
   let rateFactor = 1;
+  const deadlyShares = new Map<string, number>();
+
+  const choosePromptParts = (count: number): readonly string[] => {
+    const firstPart = `first-${count % FIRST_PARTS}`;
+    const deadly = [...deadlyShares].filter(([, share]) => random() < share);
+    return [firstPart, ...deadly.slice(0, 1).map(([part]) => part)];
+  };
 
   const send = (): void => {
     const acceptingIndexes = entries
@@ -41,9 +50,11 @@
     }
     const { ip, port } = selectedEntry;
     sentCount += 1;
+    const kind = REQUEST_KINDS[Math.floor(random() * REQUEST_KINDS.length)] ?? 'idempotent';
     const { sent, whenClosed } = sendRequest({
       id: `r${sentCount}`,
-      kind: REQUEST_KINDS[Math.floor(random() * REQUEST_KINDS.length)] ?? 'idempotent',
+      kind,
+      promptParts: kind === 'stream' ? choosePromptParts(sentCount) : [],
       entry: entryIndex,
       ip,
       port,
@@ -65,6 +76,9 @@
     multiplyRate: (factor) => {
       rateFactor *= factor;
     },
+    setDeadlyShare: (part, share) => {
+      deadlyShares.set(part, share);
+    },
     stop: async () => {
       clearInterval(sendTimer);
       await Promise.all(pendingRequests);
--- a/packages/soak/src/checks/findViolations.ts
+++ b/packages/soak/src/checks/findViolations.ts
@@ -3,6 +3,8 @@
 import type { SentRequest } from '../history/sentRequest.js';
 import type { TargetRun } from '../history/targetRun.js';
 import type { Violation } from './violation.js';
+import { checkDeadlyParts } from './checkDeadlyParts.js';
+import { checkLimits } from './checkLimits.js';
 import { isDisturbed } from './isDisturbed.js';
 
 /** Statuses that assure the caller that its request did not run. */
@@ -60,6 +62,15 @@
     return [{ guarantee: 'ranForNobody', detail }];
   });
 
+const hasCrashedMeanwhile = (
+  { crashes }: History,
+  { target, earliestMs }: TargetRun,
+  untilMs = Infinity,
+): boolean =>
+  crashes.some(
+    (crash) => crash.target === target && crash.atMs >= earliestMs && crash.atMs <= untilMs,
+  );
+
 const checkGracefulShutdowns = (history: History, runsById: RunsById): readonly Violation[] =>
   history.disturbances
     .filter(({ kind }) => kind === 'stopped')
@@ -74,7 +85,14 @@
             request.sentMs < fromMs &&
             request.endedMs >= fromMs &&
             request.endedMs <= untilMs &&
-            runsById.get(request.id)?.every((run) => !run.isFaulty && !run.isPathHarmed) === true,
+            runsById
+              .get(request.id)
+              ?.every(
+                (run) =>
+                  !run.isFaulty &&
+                  !run.isPathHarmed &&
+                  !hasCrashedMeanwhile(history, run, request.endedMs),
+              ) === true,
         )
         .map(({ id }) => ({
           guarantee: 'cutByStop' as const,
@@ -115,6 +133,8 @@
       ];
     }),
     ...checkGracefulShutdowns(history, runsById),
+    ...checkDeadlyParts(history),
+    ...checkLimits(history),
     ...checkRecovery(history),
   ];
 };
--- a/packages/soak/src/checks/violation.ts
+++ b/packages/soak/src/checks/violation.ts
@@ -6,6 +6,8 @@
     | 'foreignAnswer'
     | 'ranForNobody'
     | 'cutByStop'
+    | 'crashedOn'
+    | 'beyondLimit'
     | 'notServedAfter';
   readonly detail: string;
 }
--- a/packages/soak/src/history/history.ts
+++ b/packages/soak/src/history/history.ts
@@ -1,3 +1,4 @@
+import type { Crash } from './crash.js';
 import type { Disturbance } from './disturbance.js';
 import type { SentRequest } from './sentRequest.js';
 import type { TargetRun } from './targetRun.js';
@@ -7,6 +8,7 @@
   readonly requests: SentRequest[];
   readonly runs: TargetRun[];
   readonly disturbances: Disturbance[];
+  readonly crashes: Crash[];
   /** When the faults were over and the system had had time to settle, in milliseconds of the soak's monotonic clock. */
   calmFromMs: number;
 }
--- a/packages/soak/src/history/targetRun.ts
+++ b/packages/soak/src/history/targetRun.ts
@@ -4,6 +4,10 @@
   readonly target: string;
   /** The earliest moment at which it may have arrived, in milliseconds of the soak's monotonic clock. */
   readonly earliestMs: number;
+  /** Shared parts of the request's prompt. */
+  readonly promptParts: readonly string[];
+  /** What the target stated at that time to take per second from all entries; undefined if it stated nothing. */
+  readonly limit?: { readonly perSecond: number; readonly sinceMs: number };
   /** Whether the target was set to break this request off or to be slow. */
   readonly isFaulty: boolean;
   /** Whether the proxy in front of the target was not open at that time or shortly before. */
--- a/packages/soak/src/plan/createFaultPlan.ts
+++ b/packages/soak/src/plan/createFaultPlan.ts
@@ -1,5 +1,6 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { DEADLY_PARTS } from './deadlyParts.js';
 import type { Fault } from './fault.js';
 
 const FAULT_KINDS = ['kill', 'stop', 'pause', 'starve', 'resets', 'slow', 'burst', 'roll'] as const;
@@ -7,6 +8,17 @@
 const MAX_PATH_FAULTS = 2;
 /** Derives a second generator for network faults, so that a seed yields the same other faults with and without them. */
 const PATH_FAULTS_SEED_MASK = 0x5bd1e995;
+/** The same for faults that requests and targets bring about by what they state. */
+const STATEMENT_FAULTS_SEED_MASK = 0x2c1b3c6d;
+/** Long enough that requests with the part still come when it must have been recognized. */
+const MIN_STATEMENT_DURATION_MS = 6_000;
+const MAX_STATEMENT_DURATION_MS = 9_000;
+const MIN_DEADLY_PERCENT = 4;
+const MAX_DEADLY_PERCENT = 12;
+const MAX_LIMITS = 2;
+const MIN_LIMIT_PER_SECOND = 1;
+const MAX_LIMIT_PER_SECOND = 9;
+const PERCENT = 100;
 const MIN_FAULTS = 3;
 const MAX_FAULTS = 6;
 const MIN_FAULT_DURATION_MS = 300;
@@ -71,7 +83,29 @@
     state: FAULTY_PROXY_STATES[drawPathInteger(0, FAULTY_PROXY_STATES.length - 1)] ?? 'silent',
   });
 
+  const drawStatementFaults = (): readonly Fault[] => {
+    const draw = createDrawInteger(seed ^ STATEMENT_FAULTS_SEED_MASK);
+    const drawTimes = () => ({
+      atMs: draw(0, faultDurationMs / 2),
+      forMs: draw(MIN_STATEMENT_DURATION_MS, MAX_STATEMENT_DURATION_MS),
+    });
+    const deadlyParts = DEADLY_PARTS.slice(0, draw(0, DEADLY_PARTS.length)).map((part) => ({
+      kind: 'deadlyPart' as const,
+      ...drawTimes(),
+      part,
+      share: draw(MIN_DEADLY_PERCENT, MAX_DEADLY_PERCENT) / PERCENT,
+    }));
+    const limits = Array.from({ length: draw(0, MAX_LIMITS) }, () => ({
+      kind: 'limit' as const,
+      ...drawTimes(),
+      target: draw(0, targets - 1),
+      perSecond: draw(MIN_LIMIT_PER_SECOND, MAX_LIMIT_PER_SECOND),
+    }));
+    return [...deadlyParts, ...limits];
+  };
+
   return [
+    ...drawStatementFaults(),
     ...Array.from({ length: drawInteger(MIN_FAULTS, MAX_FAULTS) }, drawFaults).flat(),
     ...Array.from({ length: drawPathInteger(0, MAX_PATH_FAULTS) }, drawPathFault),
   ].sort((left, right) => left.atMs - right.atMs);
--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -42,6 +42,22 @@
       readonly forMs: number;
       readonly times: number;
     }
+  /** Part of the streams share a part of their prompt that crashes each target that begins to respond. */
+  | {
+      readonly kind: 'deadlyPart';
+      readonly atMs: number;
+      readonly part: string;
+      readonly share: number;
+      readonly forMs: number;
+    }
+  /** A target states what it takes per second from all entries together. */
+  | {
+      readonly kind: 'limit';
+      readonly atMs: number;
+      readonly target: number;
+      readonly perSecond: number;
+      readonly forMs: number;
+    }
   /** The proxy in front of a target disturbs its connections. */
   | {
       readonly kind: 'path';
--- a/packages/soak/src/plan/injectFault.ts
+++ b/packages/soak/src/plan/injectFault.ts
@@ -40,6 +40,19 @@
       await sleep(fault.forMs);
       targets[fault.target]?.setProxyState('open');
       return;
+    case 'deadlyPart':
+      targets.forEach((target) => {
+        target.setDeadly(fault.part, true);
+      });
+      callers.setDeadlyShare(fault.part, fault.share);
+      await sleep(fault.forMs);
+      callers.setDeadlyShare(fault.part, 0);
+      return;
+    case 'limit':
+      targets[fault.target]?.setLimit(fault.perSecond);
+      await sleep(fault.forMs);
+      targets[fault.target]?.setLimit(undefined);
+      return;
     case 'burst':
       callers.multiplyRate(fault.times);
       await sleep(fault.forMs);
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -6,10 +6,12 @@
 import { startCallers } from './callers/startCallers.js';
 import type { History } from './history/history.js';
 import { injectFault } from './plan/injectFault.js';
+import { DEADLY_PARTS } from './plan/deadlyParts.js';
 import { createFaultPlan } from './plan/createFaultPlan.js';
 import { findFreePort } from './system/findFreePort.js';
 import { getNowMs } from './system/getNowMs.js';
 import { createRoutingDocument } from './system/createRoutingDocument.js';
+import type { PlantedFault } from './system/plantedFault.js';
 import type { SoakEntry } from './system/soakEntry.js';
 import type { SoakTarget } from './system/soakTarget.js';
 import { startSoakEntry } from './system/startSoakEntry.js';
@@ -26,6 +28,7 @@
   readonly targets: number;
   /** Length of the phase in which faults start, in milliseconds. */
   readonly faultDurationMs: number;
+  readonly plantedFault?: PlantedFault;
 }
 
 const disposeAll = async (disposables: readonly AsyncDisposable[]): Promise<void> => {
@@ -38,11 +41,17 @@
  */
 export const runSoak = async (
   seed: number,
-  { entries: entryCount, targets: targetCount, faultDurationMs }: SoakSize,
+  { entries: entryCount, targets: targetCount, faultDurationMs, plantedFault }: SoakSize,
   directory: string,
 ): Promise<History> => {
   mkdirSync(directory, { recursive: true });
-  const history: History = { requests: [], runs: [], disturbances: [], calmFromMs: Infinity };
+  const history: History = {
+    requests: [],
+    runs: [],
+    disturbances: [],
+    crashes: [],
+    calmFromMs: Infinity,
+  };
   const generator = xoroshiro128plus(seed);
   const random = (): number => uniformFloat64(generator);
 
@@ -51,6 +60,8 @@
       startSoakTarget({
         name: `target-${index}`,
         recordRun: (run) => history.runs.push(run),
+        recordCrash: (crash) => history.crashes.push(crash),
+        statesLimits: plantedFault !== 'unstatedLimits',
         random,
       }),
     ),
@@ -67,6 +78,7 @@
         routingPath,
         peers,
         disturbances: history.disturbances,
+        trustedPromptParts: plantedFault === 'trustedParts' ? DEADLY_PARTS : [],
       }),
     ),
   );
--- a/packages/soak/src/system/soakTarget.ts
+++ b/packages/soak/src/system/soakTarget.ts
@@ -7,5 +7,9 @@
   /** Whether the target breaks off part of its requests. */
   readonly setResetting: (isResetting: boolean) => void;
   readonly setSlow: (isSlow: boolean) => void;
+  /** Sets whether a part of prompts crashes the target. */
+  readonly setDeadly: (part: string, isDeadly: boolean) => void;
+  /** Sets the limit that the target states, in requests per second; undefined to state none. */
+  readonly setLimit: (perSecond: number | undefined) => void;
   readonly setProxyState: (state: ProxyState) => void;
 }
--- a/packages/soak/src/system/startSoakEntry.ts
+++ b/packages/soak/src/system/startSoakEntry.ts
@@ -33,6 +33,7 @@
   routingPath,
   peers,
   disturbances,
+  trustedPromptParts,
 }: {
   readonly index: number;
   /** For the settings and the logs of the process. */
@@ -41,6 +42,7 @@
   readonly peers: { readonly ips: readonly string[]; readonly port: number };
   /** Each kill, pause and stop of the entry is added here. */
   readonly disturbances: Disturbance[];
+  readonly trustedPromptParts: readonly string[];
 }): Promise<SoakEntry> => {
   // Each entry has its own IP address, so that nothing else takes its ports during a restart.
   const ip = peers.ips[index] ?? '127.0.0.1';
@@ -60,6 +62,7 @@
       metricsAddress: '127.0.0.1:0',
       peers: { ip, port: peers.port, addresses: peers.ips.filter((other) => other !== ip) },
       stopWithinMs: STOP_WITHIN_MS,
+      trustedPromptParts,
     }),
   );
 
--- a/packages/soak/src/system/startSoakTarget.ts
+++ b/packages/soak/src/system/startSoakTarget.ts
@@ -3,13 +3,18 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { closeHttp, listenHttp } from '@parsleyhall/common';
 import { createResponseBody } from '../history/createResponseBody.js';
+import type { Crash } from '../history/crash.js';
 import type { RequestKind } from '../history/requestKind.js';
 import type { TargetRun } from '../history/targetRun.js';
 import { startFaultProxy } from './startFaultProxy.js';
+import { getNowMs } from './getNowMs.js';
 import { monitorServerReads } from './monitorServerReads.js';
 import type { SoakTarget } from './soakTarget.js';
 
 const ID_HEADER = 'x-request-id';
+const PROMPT_PARTS_HEADER = 'x-prompt-parts';
+const LIMIT_HEADER = 'x-limit-per-second';
+const RESTART_MS = 600;
 const SERVICE_TIME_MS = 15;
 const SLOW_SERVICE_TIME_MS = 900;
 const CHUNK_INTERVAL_MS = 20;
@@ -27,15 +32,30 @@
 export const startSoakTarget = async ({
   name,
   recordRun,
+  recordCrash,
+  statesLimits,
   random,
 }: {
   readonly name: string;
   readonly recordRun: (run: TargetRun) => void;
+  readonly recordCrash: (crash: Crash) => void;
+  /** Whether its responses state the limit. */
+  readonly statesLimits: boolean;
   readonly random: () => number;
 }): Promise<SoakTarget> => {
+  const deadlyParts = new Set<string>();
+  let limit: TargetRun['limit'];
   let isResetting = false;
   let isSlow = false;
 
+  /** Ends all connections and accepts none until it has started again. */
+  const crash = async (part: string): Promise<void> => {
+    recordCrash({ part, target: name, atMs: getNowMs() });
+    proxy.setState('reset');
+    await sleep(RESTART_MS);
+    proxy.setState('open');
+  };
+
   const writeResponse = async (
     response: ServerResponse,
     chunks: readonly string[],
@@ -55,6 +75,9 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { remotePort } = request.socket;
     const id = String(request.headers[ID_HEADER]);
+    const promptParts = String(request.headers[PROMPT_PARTS_HEADER] ?? '')
+      .split(',')
+      .filter((part) => part !== '');
     const isFaulty = isResetting && random() < RESET_SHARE;
     recordRun({
       id,
@@ -63,6 +86,8 @@
         readMonitor.getEarliestArrivalAtMs(request.socket),
         proxy.getEarliestArrivalAtMs(remotePort),
       ),
+      promptParts,
+      ...(limit === undefined ? {} : { limit }),
       isFaulty: isFaulty || isSlow,
       isPathHarmed: proxy.isImpaired(),
     });
@@ -71,11 +96,17 @@
       request.socket.resetAndDestroy();
       return;
     }
+    const deadlyPart = promptParts.find((part) => deadlyParts.has(part));
+    if (deadlyPart !== undefined) {
+      await crash(deadlyPart);
+      return;
+    }
     const kind = getRequestKind(request);
     const body = createResponseBody(id, kind);
     const isStream = kind === 'stream';
     response.writeHead(200, {
       [ID_HEADER]: id,
+      ...(limit === undefined || !statesLimits ? {} : { [LIMIT_HEADER]: String(limit.perSecond) }),
       'content-type': isStream ? 'text/event-stream' : 'text/plain',
       ...(isStream ? {} : { 'content-length': String(body.length) }),
     });
@@ -98,6 +129,16 @@
     setSlow: (isEnabled) => {
       isSlow = isEnabled;
     },
+    setDeadly: (part, isDeadly) => {
+      if (isDeadly) {
+        deadlyParts.add(part);
+      } else {
+        deadlyParts.delete(part);
+      }
+    },
+    setLimit: (perSecond) => {
+      limit = perSecond === undefined ? undefined : { perSecond, sinceMs: getNowMs() };
+    },
     setProxyState: proxy.setState,
     [Symbol.asyncDispose]: async () => {
       readMonitor[Symbol.dispose]();
--- a/packages/soak/tests/findViolations.test.ts
+++ b/packages/soak/tests/findViolations.test.ts
@@ -22,10 +22,20 @@
   ...changes,
 });
 
+const createRun = (earliestMs: number): History['runs'][number] => ({
+  id: 'r1',
+  target: 't',
+  promptParts: [],
+  earliestMs,
+  isFaulty: false,
+  isPathHarmed: false,
+});
+
 const createHistory = (changes: Partial<History> = {}): History => ({
   requests: [createRequest()],
-  runs: [{ id: 'r1', target: 't', earliestMs: 10, isFaulty: false, isPathHarmed: false }],
+  runs: [createRun(10)],
   disturbances: [],
+  crashes: [],
   calmFromMs: Infinity,
   ...changes,
 });
@@ -33,14 +43,6 @@
 const findViolatedGuarantees = (changes: Partial<History>): readonly string[] =>
   findViolations(createHistory(changes)).map(({ guarantee }) => guarantee);
 
-const createRun = (earliestMs: number): History['runs'][number] => ({
-  id: 'r1',
-  target: 't',
-  earliestMs,
-  isFaulty: false,
-  isPathHarmed: false,
-});
-
 describe('findViolations', () => {
   it('finds nothing when a request was served once', () => {
     expect(findViolatedGuarantees({})).toEqual([]);
@@ -102,4 +104,31 @@
     const requests = [{ ...UNANSWERED_REQUEST, sentMs: 50 }];
     expect(findViolatedGuarantees({ requests, calmFromMs: 40 })).toEqual(['notServedAfter']);
   });
+
+  it('finds requests with a part that had crashed five targets, unless their entry was disturbed', () => {
+    const crashes = [1, 2, 3, 4, 5].map((atMs) => ({ part: 'deadly', target: 't', atMs }));
+    const requests = ['a', 'b', 'c', 'd'].map((id) =>
+      createRequest({ id, kind: 'idempotent', status: 502, body: '' }),
+    );
+    const runs = requests.map(({ id }) => ({ ...createRun(4_000), id, promptParts: ['deadly'] }));
+    expect(findViolatedGuarantees({ crashes, requests, runs })).toEqual(['crashedOn']);
+    expect(findViolatedGuarantees({ crashes, requests, runs: runs.slice(1) })).toEqual([]);
+    expect(findViolatedGuarantees({ crashes: crashes.slice(1), requests, runs })).toEqual([]);
+    const disturbances = [{ entry: 0, kind: 'killed', fromMs: 0, untilMs: 3_900 }] as const;
+    expect(
+      findViolatedGuarantees({ crashes, requests, runs, disturbances: [...disturbances] }),
+    ).toEqual([]);
+  });
+
+  it('finds a target that got more than it had stated to take', () => {
+    const limit = { perSecond: 1, sinceMs: 0 };
+    const requests = Array.from({ length: 12 }, (_, index) =>
+      createRequest({ id: `r${index}`, kind: 'idempotent', status: 502, body: '' }),
+    );
+    const runs = requests.map(({ id }) => ({ ...createRun(4_000), id, limit }));
+    expect(findViolatedGuarantees({ requests, runs })).toContain('beyondLimit');
+    expect(findViolatedGuarantees({ requests, runs: runs.slice(1) })).toEqual([]);
+    const early = runs.map((run) => ({ ...run, earliestMs: 2_000 }));
+    expect(findViolatedGuarantees({ requests, runs: early })).toEqual([]);
+  });
 });
