Routing: fewer wrong verdicts on prompt parts

Cause: a send that a live target had reset was taken for a crash when that target crashed seconds later; an answer that another entry saw was unknown to it if the part was not yet suspected there; and of several targets that crash together, each made its rare parts look guilty.

The change: a target that answers 0.3 to 2 s after a broken send has not crashed, and the sends that broke off there are forgotten; an entry tells what it saw answered lately when another reports a suspicion, and a quarantine counts from the first crash that it explains, so that this answer releases it; where several targets crash within 0.15 s, a part counts only if it was at half of them or more.

Three of the new tests fail without it (two in promptQuarantine on the code before; one in crashMoments with the share set to nothing).

--- a/packages/routing/src/quarantine/addQuarantine.ts
+++ b/packages/routing/src/quarantine/addQuarantine.ts
@@ -12,7 +12,7 @@
     return quarantines;
   }
   const [oldestKey] = [...quarantines].reduce((oldest, next) =>
-    next[1].decidedAtMs < oldest[1].decidedAtMs ? next : oldest,
+    next[1].suspectedSinceMs < oldest[1].suspectedSinceMs ? next : oldest,
   );
   return quarantines.delete(oldestKey);
 };
@@ -28,7 +28,9 @@
   const key = getQuarantineKey(added.parts);
   const known = quarantines.get(key);
   if (known !== undefined) {
-    return known.decidedAtMs < added.decidedAtMs ? quarantines.set(key, added) : quarantines;
+    return known.suspectedSinceMs < added.suspectedSinceMs
+      ? quarantines.set(key, added)
+      : quarantines;
   }
   if (quarantines.some(({ parts }) => includesAll(added.parts, parts))) {
     return quarantines;
--- a/packages/routing/src/quarantine/admitPrompt.ts
+++ b/packages/routing/src/quarantine/admitPrompt.ts
@@ -31,7 +31,7 @@
 
 const startTrial = (state: RoutingState, quarantine: Quarantine, nowMs: number): RoutingState => {
   const holdMs = Math.min(quarantine.holdMs * HOLD_GROWTH, MAX_HOLD_MS);
-  const onTrial = { ...quarantine, decidedAtMs: nowMs, heldUntilMs: nowMs + holdMs, holdMs };
+  const onTrial = { ...quarantine, suspectedSinceMs: nowMs, heldUntilMs: nowMs + holdMs, holdMs };
   const { quarantines } = state.promptFaults;
   return updatePromptFaults(state, {
     quarantines: quarantines.set(getQuarantineKey(quarantine.parts), onTrial),
--- a/packages/routing/src/quarantine/countCrashMoments.ts
+++ b/packages/routing/src/quarantine/countCrashMoments.ts
@@ -1,13 +1,32 @@
 import type { CrashEvidence } from './crashEvidence.js';
-import { isSameCrash } from './isSameCrash.js';
+import { getCrashes } from './getCrashes.js';
 
-/** Crashes closer together than this may have had one common cause outside of the requests. */
+/** Crashes closer together than this count once. */
 const MIN_SPACING_MS = 250;
+/** Crashes this close together may have a common cause outside of the requests. */
+const TOGETHER_MS = 150;
+/** The share of the crashes at about the same time at which a request with the cause must have been. */
+const MIN_EXPLAINED_SHARE = 0.5;
 
-/** Counts the separate moments at which targets crashed, each crash once. The oldest evidence comes first. */
-export const countCrashMoments = (evidence: readonly CrashEvidence[]): number =>
-  evidence.reduce<readonly CrashEvidence[]>((counted, next) => {
-    const latestMs = counted.at(-1)?.atMs ?? -Infinity;
-    const isCounted = counted.some((other) => isSameCrash(other, next));
-    return isCounted || next.atMs - latestMs < MIN_SPACING_MS ? counted : [...counted, next];
-  }, []).length;
+const countNear = (crashes: readonly CrashEvidence[], { atMs }: CrashEvidence): number =>
+  crashes.filter((crash) => Math.abs(crash.atMs - atMs) <= TOGETHER_MS).length;
+
+/**
+ * Counts the separate moments at which targets crashed by the evidence against a prompt part, the oldest first. Where
+ * several targets crashed together, the part must have been at most of them: one that was at a few was only beside it.
+ */
+export const countCrashMoments = (
+  evidence: readonly CrashEvidence[],
+  allCrashes: readonly CrashEvidence[],
+): number => {
+  const crashes = getCrashes(evidence);
+  const explained = crashes.filter(
+    (crash) => countNear(crashes, crash) >= MIN_EXPLAINED_SHARE * countNear(allCrashes, crash),
+  );
+  let latestMs = -Infinity;
+  return explained.filter(({ atMs }) => {
+    const isSeparate = atMs - latestMs >= MIN_SPACING_MS;
+    latestMs = isSeparate ? atMs : latestMs;
+    return isSeparate;
+  }).length;
+};
--- a/packages/routing/src/quarantine/decideQuarantines.ts
+++ b/packages/routing/src/quarantine/decideQuarantines.ts
@@ -8,6 +8,7 @@
 import { addQuarantine } from './addQuarantine.js';
 import { countCrashMoments } from './countCrashMoments.js';
 import type { CrashEvidence } from './crashEvidence.js';
+import { getCrashes } from './getCrashes.js';
 import { getQuarantineKey } from './getQuarantineKey.js';
 import { getUnexplainedEvidence } from './getUnexplainedEvidence.js';
 import type { Quarantine } from './quarantine.js';
@@ -27,11 +28,16 @@
 /** The part with evidence from the most crashes, if they are enough. */
 const findWorst = (
   evidenceByPart: Map<string, readonly CrashEvidence[]>,
+  allCrashes: readonly CrashEvidence[],
   trustedParts: readonly string[],
 ): Suspect | undefined =>
   [...evidenceByPart]
     .filter(([part]) => !trustedParts.includes(part))
-    .map(([part, evidence]) => ({ part, moments: countCrashMoments(evidence), evidence }))
+    .map(([part, evidence]) => ({
+      part,
+      moments: countCrashMoments(evidence, allCrashes),
+      evidence,
+    }))
     .filter(({ moments }) => moments >= MIN_CRASH_MOMENTS)
     .reduce<Suspect | undefined>(
       (worst, next) => (worst === undefined || next.moments > worst.moments ? next : worst),
@@ -45,12 +51,14 @@
 const getCommonParts = (
   { part, moments, evidence }: Suspect,
   evidenceByPart: Map<string, readonly CrashEvidence[]>,
+  allCrashes: readonly CrashEvidence[],
 ): readonly string[] =>
   [...new Set(evidence[0]?.parts)]
     .filter((other) => evidence.every(({ parts }) => parts.includes(other)))
-    .filter(
-      (other) => other === part || countCrashMoments(evidenceByPart.get(other) ?? []) >= moments,
-    )
+    .filter((other) => {
+      const otherEvidence = evidenceByPart.get(other) ?? [];
+      return other === part || countCrashMoments(otherEvidence, allCrashes) >= moments;
+    })
     .sort();
 
 /** Weighs the evidence from crashes and quarantines the combinations of prompt parts that explain them. */
@@ -63,14 +71,15 @@
   let { quarantines } = state.promptFaults;
   for (;;) {
     const evidenceByPart = getUnexplainedEvidence(suspicions, quarantines);
-    const worst = findWorst(evidenceByPart, state.settings.trustedPromptParts);
+    const allCrashes = getCrashes([...evidenceByPart.values()].flat());
+    const worst = findWorst(evidenceByPart, allCrashes, state.settings.trustedPromptParts);
     if (worst === undefined) {
       break;
     }
-    const parts = getCommonParts(worst, evidenceByPart);
+    const parts = getCommonParts(worst, evidenceByPart, allCrashes);
     const quarantine: Quarantine = {
       parts,
-      decidedAtMs: nowMs,
+      suspectedSinceMs: worst.evidence[0]?.atMs ?? nowMs,
       heldUntilMs: nowMs + FIRST_HOLD_MS,
       holdMs: FIRST_HOLD_MS,
     };
--- a/packages/routing/src/quarantine/getSuspectParts.ts
+++ b/packages/routing/src/quarantine/getSuspectParts.ts
@@ -1,10 +1,13 @@
-import type { Map } from 'immutable';
+import type { PromptFaults } from './promptFaults.js';
 import type { Quarantine } from './quarantine.js';
-import type { Suspicion } from './suspicion.js';
 
-/** The parts of a quarantine that were not cleared since it was decided. */
+/** The parts of a quarantine that no target has answered since they were suspected. */
 export const getSuspectParts = (
-  { parts, decidedAtMs }: Quarantine,
-  suspicions: Map<string, Suspicion>,
+  { parts, suspectedSinceMs }: Quarantine,
+  { suspicions, answeredAtMs }: PromptFaults,
 ): readonly string[] =>
-  parts.filter((part) => (suspicions.get(part)?.clearedAtMs ?? -Infinity) <= decidedAtMs);
+  parts.filter((part) => {
+    const clearedAtMs = suspicions.get(part)?.clearedAtMs ?? -Infinity;
+    const answeredHereAtMs = answeredAtMs.get(part) ?? -Infinity;
+    return Math.max(clearedAtMs, answeredHereAtMs) <= suspectedSinceMs;
+  });
--- a/packages/routing/src/quarantine/mergePromptReport.ts
+++ b/packages/routing/src/quarantine/mergePromptReport.ts
@@ -11,6 +11,9 @@
 import type { PromptReport } from './promptReport.js';
 import { updatePromptFaults } from './updatePromptFaults.js';
 
+/** The clocks of entries are compared by ages that say nothing of the time on the way. */
+const AGE_MARGIN_MS = 100;
+
 const mergeEvidence = (
   state: RoutingState,
   { evidence }: PromptReport,
@@ -27,16 +30,30 @@
     return confirmCrash(next, targetStart);
   }, state);
 
+/** Clears parts that this entry saw answered lately, which the one that suspects them could not know. */
+const clearAnswered = (
+  state: RoutingState,
+  { evidence, quarantines }: PromptReport,
+): StepResult => {
+  const parts = new Set([...evidence, ...quarantines].flatMap((item) => item.parts));
+  return runStepForEach(state, parts, (current, part) => {
+    const atMs = current.promptFaults.answeredAtMs.get(part);
+    return atMs === undefined
+      ? createStepResult(current)
+      : clearParts(current, [part], { atMs, isHere: true });
+  });
+};
+
 /** Takes in what another entry reports about prompt parts that crash targets. */
 export const mergePromptReport = (
   state: RoutingState,
   report: PromptReport,
   { nowMs }: StepContext,
 ): StepResult => {
-  const withEvidence = createStepResult(mergeEvidence(state, report, nowMs));
+  const withEvidence = clearAnswered(mergeEvidence(state, report, nowMs), report);
   const cleared = chainStep(withEvidence, (current) =>
     runStepForEach(current, Object.entries(report.cleared), (next, [part, ageMs]) =>
-      clearParts(next, [part], { atMs: nowMs - ageMs, isHere: false }),
+      clearParts(next, [part], { atMs: nowMs - ageMs - AGE_MARGIN_MS, isHere: false }),
     ),
   );
   return chainStep(cleared, (current) =>
--- a/packages/routing/src/quarantine/mergeQuarantines.ts
+++ b/packages/routing/src/quarantine/mergeQuarantines.ts
@@ -20,12 +20,12 @@
   source: 'peer' | 'store',
   nowMs: number,
 ): StepResult => {
-  const { suspicions, quarantines } = state.promptFaults;
+  const { quarantines } = state.promptFaults;
   const observations: Observation[] = [];
   let next = quarantines;
   for (const { parts, ageMs, leftMs, holdMs } of shared) {
-    const told = { parts, decidedAtMs: nowMs - ageMs, heldUntilMs: nowMs + leftMs, holdMs };
-    const quarantine = { ...told, parts: getSuspectParts(told, suspicions) };
+    const told = { parts, suspectedSinceMs: nowMs - ageMs, heldUntilMs: nowMs + leftMs, holdMs };
+    const quarantine = { ...told, parts: getSuspectParts(told, state.promptFaults) };
     if (quarantine.parts.length === 0 || leftMs < -FORGOTTEN_AFTER_MS) {
       continue;
     }
--- a/packages/routing/src/quarantine/narrowQuarantines.ts
+++ b/packages/routing/src/quarantine/narrowQuarantines.ts
@@ -8,15 +8,15 @@
 import { updatePromptFaults } from './updatePromptFaults.js';
 
 /**
- * Takes parts that were cleared since out of the quarantines, so that the remaining parts are quarantined by
+ * Takes parts that were cleared out of the quarantines, so that the remaining parts are quarantined by
  * themselves. A quarantine of which no part remains is released.
  */
 export const narrowQuarantines = (state: RoutingState): StepResult => {
-  const { quarantines, suspicions } = state.promptFaults;
+  const { quarantines } = state.promptFaults;
   const observations: Observation[] = [];
   let next = quarantines;
   for (const [key, quarantine] of quarantines) {
-    const parts = getSuspectParts(quarantine, suspicions);
+    const parts = getSuspectParts(quarantine, state.promptFaults);
     if (parts.length === quarantine.parts.length) {
       continue;
     }
--- a/packages/routing/src/quarantine/newPromptFaults.ts
+++ b/packages/routing/src/quarantine/newPromptFaults.ts
@@ -4,6 +4,7 @@
 /** The knowledge of an entry that has seen no crash. */
 export const newPromptFaults = (): PromptFaults => ({
   suspicions: Map(),
+  answeredAtMs: Map(),
   quarantines: Map(),
   isDecisionDue: false,
   isReportDue: false,
--- a/packages/routing/src/quarantine/promptFaults.ts
+++ b/packages/routing/src/quarantine/promptFaults.ts
@@ -6,6 +6,8 @@
 export interface PromptFaults {
   /** By prompt part. */
   readonly suspicions: Map<string, Suspicion>;
+  /** When this entry last saw a target answer a request with the part, by part; only recent ones. */
+  readonly answeredAtMs: Map<string, number>;
   /** By the key of their parts. */
   readonly quarantines: Map<string, Quarantine>;
   /** There is evidence that was not weighed yet. */
--- a/packages/routing/src/quarantine/quarantine.ts
+++ b/packages/routing/src/quarantine/quarantine.ts
@@ -2,8 +2,11 @@
 export interface Quarantine {
   /** Sorted. */
   readonly parts: readonly string[];
-  /** When it was imposed, or last put to a trial, in milliseconds of the monotonic clock. */
-  readonly decidedAtMs: number;
+  /**
+   * When the first of the crashes that it explains happened, or its last trial began, in milliseconds of the monotonic
+   * clock. An answer after that clears a part.
+   */
+  readonly suspectedSinceMs: number;
   /** From this moment on one request may be sent as a trial, in milliseconds of the monotonic clock. */
   readonly heldUntilMs: number;
   /** How long it is held after each decision, in milliseconds; doubles with each trial. */
--- a/packages/routing/src/quarantine/shareQuarantines.ts
+++ b/packages/routing/src/quarantine/shareQuarantines.ts
@@ -7,9 +7,9 @@
   quarantines: Map<string, Quarantine>,
   nowMs: number,
 ): readonly SharedQuarantine[] =>
-  [...quarantines.values()].map(({ parts, decidedAtMs, heldUntilMs, holdMs }) => ({
+  [...quarantines.values()].map(({ parts, suspectedSinceMs, heldUntilMs, holdMs }) => ({
     parts,
-    ageMs: Math.round(nowMs - decidedAtMs),
+    ageMs: Math.round(nowMs - suspectedSinceMs),
     leftMs: Math.round(heldUntilMs - nowMs),
     holdMs,
   }));
--- a/packages/routing/src/steps/handleResponseEnd.ts
+++ b/packages/routing/src/steps/handleResponseEnd.ts
@@ -1,5 +1,6 @@
-import { clearParts } from '../quarantine/clearParts.js';
 import { hasProvenItself } from '../quarantine/hasProvenItself.js';
+import { recordAnswer } from '../quarantine/recordAnswer.js';
+import { recordSignOfLife } from '../quarantine/recordSignOfLife.js';
 import { releaseSend } from '../requests/releaseSend.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { isStream } from '../requests/isStream.js';
@@ -32,7 +33,8 @@
   const serviceTimeMs = isStream(request.route)
     ? getEventIntervalMs(send, events, nowMs)
     : nowMs - send.sentAtMs;
-  const withoutRequest = removeRequest(releaseSend(state, request), request);
+  const alive = recordSignOfLife(state, send.targetId, nowMs);
+  const withoutRequest = removeRequest(releaseSend(alive, request), request);
   const recorded = updateTarget(withoutRequest, send.targetId, (target) =>
     serviceTimeMs === undefined ? target : recordSuccess(target, serviceTimeMs),
   );
@@ -54,8 +56,6 @@
   );
   const cleared = hasProvenItself(send)
     ? ended
-    : chainStep(ended, (current) =>
-        clearParts(current, request.sharedPromptParts, { atMs: nowMs, isHere: true }),
-      );
+    : chainStep(ended, (current) => recordAnswer(current, request.sharedPromptParts, nowMs));
   return chainStep(cleared, (current) => dispatchWaiting(current, service, context));
 };
--- a/packages/routing/src/steps/handleResponseProgress.ts
+++ b/packages/routing/src/steps/handleResponseProgress.ts
@@ -1,5 +1,6 @@
-import { clearParts } from '../quarantine/clearParts.js';
 import { hasProvenItself } from '../quarantine/hasProvenItself.js';
+import { recordAnswer } from '../quarantine/recordAnswer.js';
+import { recordSignOfLife } from '../quarantine/recordSignOfLife.js';
 import { putRequest } from '../requests/putRequest.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
@@ -19,7 +20,8 @@
     return createStepResult(state);
   }
   const isFirst = send.firstByteAtMs === undefined;
-  const next = putRequest(state, {
+  const alive = recordSignOfLife(state, send.targetId, nowMs);
+  const next = putRequest(alive, {
     ...request,
     hasResponseStarted: true,
     send: {
@@ -41,5 +43,5 @@
   }
   return hasProvenItself(send)
     ? createStepResult(next)
-    : clearParts(next, request.sharedPromptParts, { atMs: nowMs, isHere: true });
+    : recordAnswer(next, request.sharedPromptParts, nowMs);
 };
--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { RoutingEffect, RoutingSettings, SharedQuarantine } from '../src/index.js';
 import { newConfiguration } from './support/newConfiguration.js';
+import { newPeerDigest } from './support/newPeerDigest.js';
 import { newTargets } from './support/newTargets.js';
 import { RoutingHarness } from './support/routingHarness.js';
 import { RoutingWorld } from './support/routingWorld.js';
@@ -235,4 +236,46 @@
     }
     expect(getQuarantined(entry)).toEqual([]);
   });
+
+  // Guards against a verdict by sends that were reset at targets which crashed only later.
+  it('are not assumed at a target that answers after a broken send and is gone later', () => {
+    const targets = newTargets(4, { slots: 10 });
+    const entry = RoutingHarness.createReady(newConfiguration(), targets);
+    for (let left = targets.length; left > 1; left -= 1) {
+      const broken = entry.arrive({ sharedPromptParts: ['unlucky'] });
+      const { targetId } = entry.getLastSend(broken);
+      const others = Array.from({ length: 12 }, () => entry.arrive());
+      const beside = others.find((other) => entry.getLastSend(other).targetId === targetId) ?? 0;
+      entry.failSend(broken);
+      entry.advance(400);
+      entry.receiveHead(beside);
+      entry.endResponse(beside);
+      entry.advance(1_000);
+      const remaining = [...entry.state.targets.values()].map(({ listed }) => listed);
+      entry.dispatch({
+        type: 'targetsListed',
+        targets: remaining.filter(({ id }) => id !== targetId),
+      });
+      entry.advance(1_000);
+    }
+    expect(getQuarantined(entry)).toEqual([]);
+  });
+
+  // Guards against a verdict of an entry that does not know what targets have answered through others.
+  it('quarantine no part that another entry saw answered meanwhile', () => {
+    const entry = RoutingHarness.createReady();
+    const answered = entry.arrive({ sharedPromptParts: ['sound'] });
+    entry.receiveHead(answered);
+    entry.endResponse(answered);
+    entry.advance(100);
+    const quarantine = { parts: ['sound'], ageMs: 1_000, leftMs: 60_000, holdMs: 60_000 };
+    const promptReport = { evidence: [], cleared: {}, quarantines: [quarantine] };
+    entry.dispatch({ type: 'digestReceived', digest: newPeerDigest({ promptReport }) });
+    expect(getQuarantined(entry)).toEqual([]);
+    entry.advance(1_000);
+    const told = entry.effects.flatMap((effect) =>
+      effect.type === 'sendDigest' ? [effect.digest.promptReport?.cleared.sound] : [],
+    );
+    expect(told.some((ageMs) => ageMs !== undefined)).toBe(true);
+  });
 });
