Routing: reports on prompt parts fit into a digest

A prompt may name many parts with long ids. The evidence of a few such prompts made a digest longer than a datagram, which then went out to nobody, without a trace. The new test sends 200 prompts of 100 parts with 1,000 characters.

--- a/packages/daemon/src/routerProcess/defaultCallCodec.ts
+++ b/packages/daemon/src/routerProcess/defaultCallCodec.ts
@@ -12,9 +12,6 @@
 const LIMIT_PER_SECOND = 'x-limit-per-second';
 const LAST_EVENT_ID = 'last-event-id';
 
-/** Further parts are ignored. */
-const MAX_PROMPT_PARTS = 32;
-
 const readText = (headers: IncomingHttpHeaders, name: string): string | undefined => {
   const value = headers[name];
   return typeof value === 'string' && value !== '' ? value : undefined;
@@ -34,8 +31,7 @@
   readText(headers, name)
     ?.split(',')
     .map((item) => item.trim())
-    .filter((item) => item !== '')
-    .slice(0, MAX_PROMPT_PARTS);
+    .filter((item) => item !== '');
 
 /**
  * Reads and writes calls with the product's own headers: `x-request-id`, `x-team-key`, `x-deadline-ms`,
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -9,6 +9,7 @@
   route,
   service,
   team,
+  sharedPromptParts,
   quotaCost,
   isBeyondQuota,
   nowMs,
@@ -17,6 +18,7 @@
   readonly route: Route;
   readonly service: string;
   readonly team: RoutedTeam | undefined;
+  readonly sharedPromptParts: readonly string[];
   readonly quotaCost: number;
   readonly isBeyondQuota: boolean;
   readonly nowMs: number;
@@ -38,7 +40,7 @@
     deadlineAtMs: arrivedAtMs + callerTimeoutMs,
     promptTokens: arrival.promptTokens ?? 0,
     expectedOutputTokens: arrival.expectedOutputTokens ?? arrival.maxOutputTokens ?? 0,
-    sharedPromptParts: arrival.sharedPromptParts ?? [],
+    sharedPromptParts,
     quotaCost,
     isBeyondQuota,
     triedTargetIds: [],
--- a/packages/routing/src/steps/handleArrival.ts
+++ b/packages/routing/src/steps/handleArrival.ts
@@ -6,6 +6,7 @@
 import type { QueuePrediction } from '../queue/queuePrediction.js';
 import { predictQueueing } from '../queue/predictQueueing.js';
 import { admitPrompt } from '../quarantine/admitPrompt.js';
+import { boundPromptParts } from '../quarantine/boundPromptParts.js';
 import { consumeQuota } from '../quota/consumeQuota.js';
 import type { Arrival } from '../requests/arrival.js';
 import { describeRequest } from '../requests/describeRequest.js';
@@ -143,7 +144,8 @@
   if (admission.type === 'refused') {
     return refuseArrival(state, arrival, admission.refusal, context);
   }
-  const promptAdmission = admitPrompt(state, arrival.sharedPromptParts ?? [], context);
+  const sharedPromptParts = boundPromptParts(arrival.sharedPromptParts);
+  const promptAdmission = admitPrompt(state, sharedPromptParts, context);
   if (promptAdmission.type === 'refused') {
     const { refusal, promptParts } = promptAdmission;
     return refuseArrival(state, arrival, refusal, context, { promptParts });
@@ -172,6 +174,7 @@
     route,
     service,
     team,
+    sharedPromptParts,
     quotaCost: charge.cost,
     isBeyondQuota: charge.isBeyondQuota,
     nowMs,
--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -203,6 +203,28 @@
   });
 });
 
+describe('prompts with very many or very long parts', () => {
+  // Guards against digests that no longer fit into a datagram, so that entries lose one another.
+  it('do not make a digest too long', () => {
+    const entry = RoutingHarness.createReady(newConfiguration(), newTargets(40, { slots: 10 }));
+    for (let count = 0; count < 200; count += 1) {
+      const sharedPromptParts = Array.from({ length: 100 }, (_, part) =>
+        `${count}-${part}`.padEnd(part % 2 === 0 ? 60 : 1_000, 'x'),
+      );
+      const requestIds = [1, 2].map(() => entry.arrive({ sharedPromptParts }));
+      requestIds.forEach((requestId) => {
+        entry.failSend(requestId);
+      });
+      entry.advance(100);
+    }
+    const lengths = entry.effects.flatMap((effect) =>
+      effect.type === 'sendDigest' ? [JSON.stringify(effect.digest).length] : [],
+    );
+    expect(Math.max(...lengths)).toBeGreaterThan(1_000);
+    expect(Math.max(...lengths)).toBeLessThan(60_000);
+  });
+});
+
 describe('crashes that no prompt causes', () => {
   // Guards against a verdict on parts of sound prompts that were at targets which crashed for another reason.
   it('quarantine nothing if many targets crash at the same moment', () => {
