Routing: a decision on prompt parts always ends

With 64 quarantines of which all are newer than the crashes weighed now, the new quarantine was the one that was dropped, so that the decision found the same part again for ever and the process stood still. The one just added stays, and a decision imposes 16 at most.

--- a/packages/routing/src/quarantine/addQuarantine.ts
+++ b/packages/routing/src/quarantine/addQuarantine.ts
@@ -7,11 +7,15 @@
 const includesAll = (parts: readonly string[], others: readonly string[]): boolean =>
   others.every((part) => parts.includes(part));
 
-const dropOldest = (quarantines: Map<string, Quarantine>): Map<string, Quarantine> => {
+/** Drops the quarantine that is suspected for the longest time, but not the one that was just added. */
+const dropOldest = (
+  quarantines: Map<string, Quarantine>,
+  addedKey: string,
+): Map<string, Quarantine> => {
   if (quarantines.size <= MAX_QUARANTINES) {
     return quarantines;
   }
-  const [oldestKey] = [...quarantines].reduce((oldest, next) =>
+  const [oldestKey] = [...quarantines.delete(addedKey)].reduce((oldest, next) =>
     next[1].suspectedSinceMs < oldest[1].suspectedSinceMs ? next : oldest,
   );
   return quarantines.delete(oldestKey);
@@ -36,5 +40,5 @@
     return quarantines;
   }
   const others = quarantines.filterNot(({ parts }) => includesAll(parts, added.parts));
-  return dropOldest(others.set(key, added));
+  return dropOldest(others.set(key, added), key);
 };
--- a/packages/routing/src/quarantine/decideQuarantines.ts
+++ b/packages/routing/src/quarantine/decideQuarantines.ts
@@ -18,6 +18,8 @@
 /** One crash may be chance and two may be one request that was sent twice. */
 const MIN_CRASH_MOMENTS = 3;
 const FIRST_HOLD_MS = 60_000;
+/** Quarantines that are imposed at once; the rest waits for more evidence. */
+const MAX_DECISIONS = 16;
 
 interface Suspect {
   readonly part: string;
@@ -69,7 +71,7 @@
   const { suspicions } = state.promptFaults;
   const observations: Observation[] = [];
   let { quarantines } = state.promptFaults;
-  for (;;) {
+  while (observations.length < MAX_DECISIONS) {
     const evidenceByPart = getUnexplainedEvidence(suspicions, quarantines);
     const allCrashes = getCrashes([...evidenceByPart.values()].flat());
     const worst = findWorst(evidenceByPart, allCrashes, state.settings.trustedPromptParts);
--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -225,6 +225,37 @@
   });
 });
 
+describe('very many quarantines', () => {
+  // Guards against a decision that never ends because what it adds is dropped at once.
+  it('do not keep a new one from being imposed', () => {
+    const entry = RoutingHarness.createReady(newConfiguration(), newTargets(40, { slots: 10 }));
+    const quarantines = Array.from({ length: 64 }, (_, index) => ({
+      parts: [`known-${index}`],
+      ageMs: 0,
+      leftMs: 60_000,
+      holdMs: 60_000,
+    }));
+    entry.nowMs += 60_000;
+    entry.dispatch({ type: 'quarantinesRead', quarantines });
+    entry.nowMs -= 60_000;
+    for (let crash = 0; crash < 3; crash += 1) {
+      const requestIds = [1, 2].map(() => entry.arrive({ sharedPromptParts: [DEADLY] }));
+      const targetIds = requestIds.map((requestId) => entry.getLastSend(requestId).targetId);
+      requestIds.forEach((requestId) => {
+        entry.failSend(requestId);
+      });
+      const remaining = [...entry.state.targets.values()].map(({ listed }) => listed);
+      entry.dispatch({
+        type: 'targetsListed',
+        targets: remaining.filter(({ id }) => !targetIds.includes(id)),
+      });
+      entry.advance(1_000);
+    }
+    expect(getQuarantined(entry)).toHaveLength(64);
+    expect(getQuarantined(entry)).toContain(DEADLY);
+  });
+});
+
 describe('crashes that no prompt causes', () => {
   // Guards against a verdict on parts of sound prompts that were at targets which crashed for another reason.
   it('quarantine nothing if many targets crash at the same moment', () => {
