--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -10,7 +10,7 @@
 const REACTION_MS = 3_000;
 /** Requests with the part that may still reach targets after that. */
 const TOLERATED_SENDS = 3;
-const DEADLY = 'deadly';
+const POISON = 'poison';
 const FIRST_PARTS = ['alpha', 'beta', 'gamma'];
 /** Longer than a quarantine is held at first, and than the entries take turns to start a trial. */
 const FIRST_HOLD_MS = 70_000;
@@ -27,9 +27,9 @@
 const getFirstPart = (count: number): string =>
   FIRST_PARTS[(count * 7) % FIRST_PARTS.length] ?? 'alpha';
 
-/** One request in twenty has the deadly part behind a first part that sound requests have as well. */
+/** One request in twenty has the poison part behind a first part that sound requests have as well. */
 const chooseParts = (count: number): readonly string[] =>
-  count % 20 === 0 ? [getFirstPart(count), DEADLY] : [getFirstPart(count)];
+  count % 20 === 0 ? [getFirstPart(count), POISON] : [getFirstPart(count)];
 
 const chooseSound = (count: number): readonly string[] => [getFirstPart(count)];
 
@@ -40,7 +40,7 @@
 
 const createWorldWithQuarantine = (): RoutingWorld => {
   const world = new RoutingWorld(SMALL);
-  world.deadlyParts.add(DEADLY);
+  world.poisonParts.add(POISON);
   world.runWithLoad(10_000, SMALL_LOAD, chooseParts);
   return world;
 };
@@ -68,10 +68,10 @@
     'no longer reaches targets once it has crashed five ($entryCount entries)',
     ({ perSecond, ...size }) => {
       const world = new RoutingWorld(size);
-      world.deadlyParts.add(DEADLY);
+      world.poisonParts.add(POISON);
       world.runWithLoad(15_000, perSecond, chooseParts);
       expect(world.crashesAtMs.length).toBeGreaterThan(0);
-      expect(countLateSends(world, DEADLY)).toBeLessThanOrEqual(TOLERATED_SENDS);
+      expect(countLateSends(world, POISON)).toBeLessThanOrEqual(TOLERATED_SENDS);
     },
   );
 
@@ -87,11 +87,11 @@
   // Guards against a part that is recognized only while it is the only one.
   it('is recognized beside a second one', () => {
     const world = new RoutingWorld(SMALL);
-    world.deadlyParts.add(DEADLY).add('second');
+    world.poisonParts.add(POISON).add('second');
     world.runWithLoad(15_000, SMALL_LOAD, (count) =>
       count % 33 === 5 ? [getFirstPart(count), 'second'] : chooseParts(count),
     );
-    expect(countLateSends(world, DEADLY) + countLateSends(world, 'second')).toBeLessThanOrEqual(
+    expect(countLateSends(world, POISON) + countLateSends(world, 'second')).toBeLessThanOrEqual(
       2 * TOLERATED_SENDS,
     );
   });
@@ -99,12 +99,12 @@
   // Guards against a verdict on the first part when it has only been seen together with the one that crashes targets.
   it('is told apart from a part that was always beside it once that is answered alone', () => {
     const world = new RoutingWorld(SMALL);
-    world.deadlyParts.add(DEADLY);
-    world.runWithLoad(5_000, SMALL_LOAD, (count) => (count % 20 === 0 ? ['rare', DEADLY] : []));
-    expect(getQuarantined(world.entries[0])).toEqual([`${DEADLY},rare`]);
+    world.poisonParts.add(POISON);
+    world.runWithLoad(5_000, SMALL_LOAD, (count) => (count % 20 === 0 ? ['rare', POISON] : []));
+    expect(getQuarantined(world.entries[0])).toEqual([`${POISON},rare`]);
     world.runWithLoad(2_000, SMALL_LOAD, (count) => (count % 20 === 0 ? ['rare'] : []));
     world.entries.forEach((entry) => {
-      expect(getQuarantined(entry)).toEqual([DEADLY]);
+      expect(getQuarantined(entry)).toEqual([POISON]);
     });
   });
 
@@ -112,7 +112,7 @@
   it('is recognized at a target that comes back under the same name', () => {
     const entry = RoutingHarness.createReady(newConfiguration(), newTargets(1, { slots: 10 }));
     for (let crash = 0; crash < 3; crash += 1) {
-      const requestIds = [['first', DEADLY], ['second']].map((sharedPromptParts) =>
+      const requestIds = [['first', POISON], ['second']].map((sharedPromptParts) =>
         entry.arrive({ sharedPromptParts }),
       );
       requestIds.forEach((requestId) => {
@@ -124,12 +124,12 @@
       entry.endResponse(sound);
       entry.advance(1_000);
     }
-    expect(getQuarantined(entry)).toEqual([`${DEADLY},first`]);
+    expect(getQuarantined(entry)).toEqual([`${POISON},first`]);
   });
 
   it('is refused with the time after which it is worth another try, as not run', () => {
     const world = createWorldWithQuarantine();
-    const refusal = world.entries[1]?.getRefusal(world.arrive(1, ['alpha', DEADLY]));
+    const refusal = world.entries[1]?.getRefusal(world.arrive(1, ['alpha', POISON]));
     expect(refusal).toMatchObject({ status: 503, reason: 'promptQuarantined' });
     expect(refusal?.retryAfterMs).toBeGreaterThan(10_000);
   });
@@ -137,9 +137,9 @@
   // Guards against targets that are lost to requests that were on their way before the verdict.
   it('is taken back from targets that have not begun with it', () => {
     const world = new RoutingWorld(SMALL);
-    const requestId = world.arrive(0, [DEADLY]);
+    const requestId = world.arrive(0, [POISON]);
     const [entry] = world.entries;
-    const quarantines = [{ parts: [DEADLY], ageMs: 0, leftMs: 60_000, holdMs: 60_000 }];
+    const quarantines = [{ parts: [POISON], ageMs: 0, leftMs: 60_000, holdMs: 60_000 }];
     entry?.dispatch({ type: 'quarantinesRead', quarantines });
     expect(entry?.effects.some(({ type }) => type === 'cancelSend')).toBe(true);
     expect(entry?.getRefusal(requestId)).toEqual({ status: 502, reason: 'promptQuarantined' });
@@ -150,7 +150,7 @@
     const world = createWorldWithQuarantine();
     const entry = world.restartEntry(2);
     world.run(3_000);
-    expect(isRefused(entry, world.arrive(2, ['alpha', DEADLY]))).toBe(true);
+    expect(isRefused(entry, world.arrive(2, ['alpha', POISON]))).toBe(true);
   });
 
   // Guards against a restart of all entries at once, which leaves none that could tell.
@@ -161,7 +161,7 @@
     const [entry] = SMALL_ENTRIES.map((index) => world.restartEntry(index));
     entry?.dispatch({ type: 'quarantinesRead', quarantines });
     world.run(1_000);
-    expect(isRefused(entry, world.arrive(0, ['alpha', DEADLY]))).toBe(true);
+    expect(isRefused(entry, world.arrive(0, ['alpha', POISON]))).toBe(true);
   });
 
   it('is persisted by one entry', () => {
@@ -175,11 +175,11 @@
   // Guards against a verdict that never ends.
   it('is let through once after the hold, and released everywhere if it is answered', () => {
     const world = createWorldWithQuarantine();
-    world.deadlyParts.clear();
+    world.poisonParts.clear();
     world.run(FIRST_HOLD_MS);
     const fromMs = world.nowMs;
     world.runWithLoad(3_000, SMALL_LOAD, chooseParts);
-    expect(world.countArrivals(({ parts }) => parts.includes(DEADLY), fromMs)).toBeGreaterThan(1);
+    expect(world.countArrivals(({ parts }) => parts.includes(POISON), fromMs)).toBeGreaterThan(1);
     world.entries.forEach((entry) => {
       expect(getQuarantined(entry)).toEqual([]);
     });
@@ -197,9 +197,9 @@
   it('is not refused if the operator trusts it', () => {
     const world = createWorldWithQuarantine();
     const [entry] = world.entries;
-    const settings = { ...world.entries[0]?.state.settings, trustedPromptParts: [DEADLY] };
+    const settings = { ...world.entries[0]?.state.settings, trustedPromptParts: [POISON] };
     entry?.dispatch({ type: 'settingsRead', settings: settings as RoutingSettings });
-    expect(isRefused(entry, world.arrive(0, ['alpha', DEADLY]))).toBe(false);
+    expect(isRefused(entry, world.arrive(0, ['alpha', POISON]))).toBe(false);
   });
 });
 
@@ -239,7 +239,7 @@
     entry.dispatch({ type: 'quarantinesRead', quarantines });
     entry.nowMs -= 60_000;
     for (let crash = 0; crash < 3; crash += 1) {
-      const requestIds = [1, 2].map(() => entry.arrive({ sharedPromptParts: [DEADLY] }));
+      const requestIds = [1, 2].map(() => entry.arrive({ sharedPromptParts: [POISON] }));
       const targetIds = requestIds.map((requestId) => entry.getLastSend(requestId).targetId);
       requestIds.forEach((requestId) => {
         entry.failSend(requestId);
@@ -252,7 +252,7 @@
       entry.advance(1_000);
     }
     expect(getQuarantined(entry)).toHaveLength(64);
-    expect(getQuarantined(entry)).toContain(DEADLY);
+    expect(getQuarantined(entry)).toContain(POISON);
   });
 });
 
--- a/packages/routing/tests/support/routingWorld.ts
+++ b/packages/routing/tests/support/routingWorld.ts
@@ -48,7 +48,7 @@
   readonly arrivals: TargetArrival[] = [];
   readonly crashesAtMs: number[] = [];
   readonly begun: { readonly atMs: number; readonly parts: readonly string[] }[] = [];
-  readonly deadlyParts = new Set<string>();
+  readonly poisonParts = new Set<string>();
   private readonly stoppedEntries = new Set<number>();
   nowMs = 120_000;
   private readonly targets: WorldTarget[];
@@ -278,7 +278,7 @@
     for (const run of target.runs.filter(({ nextEventAtMs }) => nextEventAtMs <= this.nowMs)) {
       const { requestId, sendId } = run.send;
       run.entry.nowMs = this.nowMs;
-      if (run.parts.some((part) => this.deadlyParts.has(part))) {
+      if (run.parts.some((part) => this.poisonParts.has(part))) {
         this.crash(target);
         return;
       }
--- a/packages/soak/src/callers/callers.ts
+++ b/packages/soak/src/callers/callers.ts
@@ -3,7 +3,7 @@
   /** Multiplies the request rate from now on. */
   readonly multiplyRate: (factor: number) => void;
   /** Sets the share of the streams whose prompts have this part. */
-  readonly setDeadlyShare: (part: string, share: number) => void;
+  readonly setPoisonShare: (part: string, share: number) => void;
   /** Stops sending and waits for the pending requests. */
   readonly stop: () => Promise<void>;
 }
--- a/packages/soak/src/callers/startCallers.ts
+++ b/packages/soak/src/callers/startCallers.ts
@@ -31,12 +31,12 @@
   let sentCount = 0;
   let dueCount = 0;
   let rateFactor = 1;
-  const deadlyShares = new Map<string, number>();
+  const poisonShares = new Map<string, number>();
 
   const choosePromptParts = (count: number): readonly string[] => {
     const firstPart = `first-${count % FIRST_PARTS}`;
-    const deadly = [...deadlyShares].filter(([, share]) => random() < share);
-    return [firstPart, ...deadly.slice(0, 1).map(([part]) => part)];
+    const poison = [...poisonShares].filter(([, share]) => random() < share);
+    return [firstPart, ...poison.slice(0, 1).map(([part]) => part)];
   };
 
   const send = (): void => {
@@ -76,8 +76,8 @@
     multiplyRate: (factor) => {
       rateFactor *= factor;
     },
-    setDeadlyShare: (part, share) => {
-      deadlyShares.set(part, share);
+    setPoisonShare: (part, share) => {
+      poisonShares.set(part, share);
     },
     stop: async () => {
       clearInterval(sendTimer);
--- a/packages/soak/src/checks/checkDeadlyParts.ts
+++ b/packages/soak/src/checks/checkPoisonParts.ts
@@ -10,7 +10,7 @@
 const TOLERATED_RUNS = 3;
 
 /** Finds parts of prompts that went on crashing targets; runs through disturbed entries are excused. */
-export const checkDeadlyParts = (history: History): readonly Violation[] => {
+export const checkPoisonParts = (history: History): readonly Violation[] => {
   const parts = new Set(history.crashes.map(({ part }) => part));
   const entryById = new Map(history.requests.map(({ id, entry }) => [id, entry]));
   return [...parts].flatMap((part) => {
--- a/packages/soak/src/checks/findViolations.ts
+++ b/packages/soak/src/checks/findViolations.ts
@@ -3,7 +3,7 @@
 import type { SentRequest } from '../history/sentRequest.js';
 import type { TargetRun } from '../history/targetRun.js';
 import type { Violation } from './violation.js';
-import { checkDeadlyParts } from './checkDeadlyParts.js';
+import { checkPoisonParts } from './checkPoisonParts.js';
 import { checkLimits } from './checkLimits.js';
 import { isDisturbed } from './isDisturbed.js';
 
@@ -133,7 +133,7 @@
       ];
     }),
     ...checkGracefulShutdowns(history, runsById),
-    ...checkDeadlyParts(history),
+    ...checkPoisonParts(history),
     ...checkLimits(history),
     ...checkRecovery(history),
   ];
--- a/packages/soak/src/plan/createFaultPlan.ts
+++ b/packages/soak/src/plan/createFaultPlan.ts
@@ -1,6 +1,6 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { DEADLY_PARTS } from './deadlyParts.js';
+import { POISON_PARTS } from './poisonParts.js';
 import type { Fault } from './fault.js';
 
 const FAULT_KINDS = ['kill', 'stop', 'pause', 'starve', 'resets', 'slow', 'burst', 'roll'] as const;
@@ -13,8 +13,8 @@
 /** Long enough that requests with the part still come when it must have been recognized. */
 const MIN_STATEMENT_DURATION_MS = 6_000;
 const MAX_STATEMENT_DURATION_MS = 9_000;
-const MIN_DEADLY_PERCENT = 4;
-const MAX_DEADLY_PERCENT = 12;
+const MIN_POISON_PERCENT = 4;
+const MAX_POISON_PERCENT = 12;
 const MAX_LIMITS = 2;
 const MIN_LIMIT_PER_SECOND = 1;
 const MAX_LIMIT_PER_SECOND = 9;
@@ -89,11 +89,11 @@
       atMs: draw(0, faultDurationMs / 2),
       forMs: draw(MIN_STATEMENT_DURATION_MS, MAX_STATEMENT_DURATION_MS),
     });
-    const deadlyParts = DEADLY_PARTS.slice(0, draw(0, DEADLY_PARTS.length)).map((part) => ({
-      kind: 'deadlyPart' as const,
+    const poisonParts = POISON_PARTS.slice(0, draw(0, POISON_PARTS.length)).map((part) => ({
+      kind: 'poisonPart' as const,
       ...drawTimes(),
       part,
-      share: draw(MIN_DEADLY_PERCENT, MAX_DEADLY_PERCENT) / PERCENT,
+      share: draw(MIN_POISON_PERCENT, MAX_POISON_PERCENT) / PERCENT,
     }));
     const limits = Array.from({ length: draw(0, MAX_LIMITS) }, () => ({
       kind: 'limit' as const,
@@ -101,7 +101,7 @@
       target: draw(0, targets - 1),
       perSecond: draw(MIN_LIMIT_PER_SECOND, MAX_LIMIT_PER_SECOND),
     }));
-    return [...deadlyParts, ...limits];
+    return [...poisonParts, ...limits];
   };
 
   return [
--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -44,7 +44,7 @@
     }
   /** Part of the streams share a part of their prompt that crashes each target that begins to respond. */
   | {
-      readonly kind: 'deadlyPart';
+      readonly kind: 'poisonPart';
       readonly atMs: number;
       readonly part: string;
       readonly share: number;
--- a/packages/soak/src/plan/injectFault.ts
+++ b/packages/soak/src/plan/injectFault.ts
@@ -40,13 +40,13 @@
       await sleep(fault.forMs);
       targets[fault.target]?.setProxyState('open');
       return;
-    case 'deadlyPart':
+    case 'poisonPart':
       targets.forEach((target) => {
-        target.setDeadly(fault.part, true);
+        target.setPoison(fault.part, true);
       });
-      callers.setDeadlyShare(fault.part, fault.share);
+      callers.setPoisonShare(fault.part, fault.share);
       await sleep(fault.forMs);
-      callers.setDeadlyShare(fault.part, 0);
+      callers.setPoisonShare(fault.part, 0);
       return;
     case 'limit':
       targets[fault.target]?.setLimit(fault.perSecond);
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -6,7 +6,7 @@
 import { startCallers } from './callers/startCallers.js';
 import type { History } from './history/history.js';
 import { injectFault } from './plan/injectFault.js';
-import { DEADLY_PARTS } from './plan/deadlyParts.js';
+import { POISON_PARTS } from './plan/poisonParts.js';
 import { createFaultPlan } from './plan/createFaultPlan.js';
 import { findFreePort } from './system/findFreePort.js';
 import { getNowMs } from './system/getNowMs.js';
@@ -78,7 +78,7 @@
         routingPath,
         peers,
         disturbances: history.disturbances,
-        trustedPromptParts: plantedFault === 'trustedParts' ? DEADLY_PARTS : [],
+        trustedPromptParts: plantedFault === 'trustedParts' ? POISON_PARTS : [],
       }),
     ),
   );
--- a/packages/soak/src/system/soakTarget.ts
+++ b/packages/soak/src/system/soakTarget.ts
@@ -8,7 +8,7 @@
   readonly setResetting: (isResetting: boolean) => void;
   readonly setSlow: (isSlow: boolean) => void;
   /** Sets whether a part of prompts crashes the target. */
-  readonly setDeadly: (part: string, isDeadly: boolean) => void;
+  readonly setPoison: (part: string, isPoison: boolean) => void;
   /** Sets the limit that the target states, in requests per second; undefined to state none. */
   readonly setLimit: (perSecond: number | undefined) => void;
   readonly setProxyState: (state: ProxyState) => void;
--- a/packages/soak/src/system/startSoakTarget.ts
+++ b/packages/soak/src/system/startSoakTarget.ts
@@ -43,7 +43,7 @@
   readonly statesLimits: boolean;
   readonly random: () => number;
 }): Promise<SoakTarget> => {
-  const deadlyParts = new Set<string>();
+  const poisonParts = new Set<string>();
   let limit: TargetRun['limit'];
   let isResetting = false;
   let isSlow = false;
@@ -96,9 +96,9 @@
       request.socket.resetAndDestroy();
       return;
     }
-    const deadlyPart = promptParts.find((part) => deadlyParts.has(part));
-    if (deadlyPart !== undefined) {
-      await crash(deadlyPart);
+    const poisonPart = promptParts.find((part) => poisonParts.has(part));
+    if (poisonPart !== undefined) {
+      await crash(poisonPart);
       return;
     }
     const kind = getRequestKind(request);
@@ -129,11 +129,11 @@
     setSlow: (isEnabled) => {
       isSlow = isEnabled;
     },
-    setDeadly: (part, isDeadly) => {
-      if (isDeadly) {
-        deadlyParts.add(part);
+    setPoison: (part, isPoison) => {
+      if (isPoison) {
+        poisonParts.add(part);
       } else {
-        deadlyParts.delete(part);
+        poisonParts.delete(part);
       }
     },
     setLimit: (perSecond) => {
--- a/packages/soak/tests/findViolations.test.ts
+++ b/packages/soak/tests/findViolations.test.ts
@@ -106,11 +106,11 @@
   });
 
   it('finds requests with a part that had crashed five targets, unless their entry was disturbed', () => {
-    const crashes = [1, 2, 3, 4, 5].map((atMs) => ({ part: 'deadly', target: 't', atMs }));
+    const crashes = [1, 2, 3, 4, 5].map((atMs) => ({ part: 'poison', target: 't', atMs }));
     const requests = ['a', 'b', 'c', 'd'].map((id) =>
       createRequest({ id, kind: 'idempotent', status: 502, body: '' }),
     );
-    const runs = requests.map(({ id }) => ({ ...createRun(4_000), id, promptParts: ['deadly'] }));
+    const runs = requests.map(({ id }) => ({ ...createRun(4_000), id, promptParts: ['poison'] }));
     expect(findViolatedGuarantees({ crashes, requests, runs })).toEqual(['crashedOn']);
     expect(findViolatedGuarantees({ crashes, requests, runs: runs.slice(1) })).toEqual([]);
     expect(findViolatedGuarantees({ crashes: crashes.slice(1), requests, runs })).toEqual([]);
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -14,7 +14,7 @@
   100,
   // Two entries shut down in turn, then a burst while busy-looping processes starve the CPU: the same failure.
   108,
-  // Two deadly parts at once, beside a starved processor, a slow target and one that resets.
+  // Two poison parts at once, beside a starved processor, a slow target and one that resets.
   501,
 ])('no guarantee is violated in the run of seed %i', async (seed) => {
   const directory = mkdtempSync(join(tmpdir(), 'parsleyhall-soak-'));
