--- a/packages/routing/tests/promptQuarantine.test.ts
+++ b/packages/routing/tests/promptQuarantine.test.ts
@@ -124,7 +124,7 @@
       entry.endResponse(sound);
       entry.advance(1_000);
     }
-    expect(getQuarantined(entry)).toEqual([`${POISON},first`]);
+    expect(getQuarantined(entry)).toEqual([`first,${POISON}`]);
   });
 
   it('is refused with the time after which it is worth another try, as not run', () => {
