--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -4,7 +4,7 @@
 import { hasTrouble, runCase, sleep, writeConfiguration } from '../support/system.mjs';
 import { makeChunk, makeEvent, makeHead, startWorker } from '../support/worker.mjs';
 
-const CLIENTS = 8;
+const CLIENTS = 16;
 const EVENTS = 15;
 const EVENT_GAP_MS = 100;
 const WORK_MS = 40;
