Stop: a request on a kept connection is answered or left unread

Cause: the stop closed its side of the connection behind each response whose head had announced a persistent one, and went on reading and passing on what arrived.

Ruled out: the exit of the process with requests open (it comes seconds later in the case); it was the same fault on another path, and is mended with it.

The change: a connection stays open until its caller was told; idle ones are destroyed late in the stop, so that what arrives stays unread; a request starts only if its response can be written, in the order of its connection; at the time limit the scheduler gives each open request a true final response, and the process waits until it is written out.

--- /dev/null
+++ b/packages/router/src/callers/connectionTracker.ts
@@ -0,0 +1,19 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Tracks which of the callers' connections have a request in progress, and for how long the others have been idle. */
+export interface ConnectionTracker {
+  readonly addConnection: (socket: Socket) => void;
+  /** Runs the handler once the responses to all earlier requests of the connection are written out. */
+  readonly addRequest: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    handle: () => void,
+  ) => void;
+  /** Number of requests whose response is not written out. */
+  readonly countOpenRequests: () => number;
+  /** Number of open connections on which a request has arrived. */
+  readonly countUsedConnections: () => number;
+  /** Closes the connections on which a request was answered and that have been idle for a while. */
+  readonly closeIdleConnections: () => void;
+}
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { closeHttp, listenHttp, splitAddress } from '@parsleyhall/common';
 import type { CallersServer } from './callersServer.js';
+import { createConnectionTracker } from './createConnectionTracker.js';
 
 const MAX_HEADER_BYTES = 65_536;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -18,7 +19,7 @@
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
   readonly recordConnection: (socket: Socket) => void;
 }): CallersServer => {
-  let openRequests = 0;
+  const connections = createConnectionTracker(() => performance.now());
   const server = createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -29,16 +30,20 @@
       noDelay: true,
     },
     (request, response) => {
-      openRequests += 1;
-      response.once('close', () => {
-        openRequests -= 1;
+      connections.addRequest(request, response, () => {
+        handle(request, response);
       });
-      handle(request, response);
     },
   );
-  server.on('connection', recordConnection);
+  // The server's own method, which `close` calls too, cuts a response that has ended and is not yet written out.
+  server.closeIdleConnections = connections.closeIdleConnections;
+  server.on('connection', (socket) => {
+    connections.addConnection(socket);
+    recordConnection(socket);
+  });
   return {
-    countOpenRequests: () => openRequests,
+    countOpenRequests: connections.countOpenRequests,
+    countUsedConnections: connections.countUsedConnections,
     listen: (address) => listenHttp(server, splitAddress(address)),
     setIdleTimeoutMs: (idleTimeoutMs) => {
       server.keepAliveTimeout = idleTimeoutMs;
@@ -46,9 +51,7 @@
     stopListening: () => {
       server.close();
     },
-    closeIdleConnections: () => {
-      server.closeIdleConnections();
-    },
+    closeIdleConnections: connections.closeIdleConnections,
     [Symbol.asyncDispose]: () => closeHttp(server),
   };
 };
--- a/packages/router/src/callers/createRequestHandler.ts
+++ b/packages/router/src/callers/createRequestHandler.ts
@@ -5,6 +5,7 @@
 import type { GracefulShutdown } from '../process/gracefulShutdown.js';
 import type { StartQueue } from '../reading/startQueue.js';
 import type { ReadDelayMonitor } from '../reading/readDelayMonitor.js';
+import { canRespond } from './canRespond.js';
 import { readBody } from './readBody.js';
 import { sendRefusal } from './sendRefusal.js';
 
@@ -41,7 +42,6 @@
   };
 
   const refuseDuringShutdown = (request: IncomingMessage, response: ServerResponse): void => {
-    request.resume();
     response.shouldKeepAlive = false;
     const refusal = {
       status: 503,
@@ -62,16 +62,6 @@
   return (request, response) => {
     const readAtMs = performance.now();
     const earliestArrivalAtMs = readDelayMonitor.getEarliestArrivalAtMs(request.socket);
-    if (shutdown.isRefusingRequests()) {
-      refuseDuringShutdown(request, response);
-      return;
-    }
-    // A response that began before the shutdown announced a persistent connection, so the connection is closed here.
-    response.once('finish', () => {
-      if (shutdown.isShuttingDown()) {
-        request.socket.end();
-      }
-    });
     readBody(request, getMaxBodyBytes(), (body) => {
       if (body === undefined) {
         refuseOversizedBody(request, response);
@@ -82,7 +72,13 @@
         response,
         earliestArrivalAtMs,
         start: () => {
-          requests.add({ request, response, body, readAtMs, earliestArrivalAtMs });
+          if (!canRespond(request, response)) {
+            logRejection(request, 'connectionClosing');
+          } else if (shutdown.isRefusingRequests()) {
+            refuseDuringShutdown(request, response);
+          } else {
+            requests.add({ request, response, body, readAtMs, earliestArrivalAtMs });
+          }
         },
         discard: () => {
           response.destroy();
--- a/packages/router/src/logging/processLogEvents.ts
+++ b/packages/router/src/logging/processLogEvents.ts
@@ -12,6 +12,12 @@
     fields: ['open'],
     optional: [],
   },
+  stopTimeUp: {
+    level: 'warn',
+    text: 'the time for a stop is up; open requests get their final response now, or are broken off',
+    fields: ['open'],
+    optional: [],
+  },
   stopped: {
     level: 'info',
     text: 'the process exits; requests that are still open are cut off',
@@ -20,7 +26,7 @@
   },
   callTurnedAway: {
     level: 'info',
-    text: 'a request was refused before it reached the scheduler, or discarded because its caller had left',
+    text: 'a request was refused before it reached the scheduler, or discarded because its caller had left or its connection was closing',
     fields: ['reason'],
     optional: ['status', 'attemptId'],
   },
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -81,6 +81,9 @@
     notifyPeers: () => {
       dispatch({ type: 'drainStarted' });
     },
+    endOpenRequests: () => {
+      dispatch({ type: 'drainTimeUp' });
+    },
     logger,
   });
 
--- a/packages/router/tests/support/rawTarget.ts
+++ b/packages/router/tests/support/rawTarget.ts
@@ -5,6 +5,8 @@
   readonly address: string;
   /** Number of connections accepted so far. */
   readonly countConnections: () => number;
+  /** Number of requests received so far. */
+  readonly countRequests: () => number;
   /** Resolves with the next request of the queue. */
   readonly nextRequest: () => Promise<RawRequest>;
 }
--- a/packages/router/tests/support/startRawTarget.ts
+++ b/packages/router/tests/support/startRawTarget.ts
@@ -7,6 +7,7 @@
 export const startRawTarget = async (queue = new RequestQueue()): Promise<RawTarget> => {
   const sockets = new Set<Socket>();
   let connections = 0;
+  let requests = 0;
 
   const server = createServer((socket) => {
     connections += 1;
@@ -21,6 +22,7 @@
         text = text.slice(end + 4);
         const getHeader = (name: string): string | undefined =>
           new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1]?.trim();
+        requests += 1;
         queue.push({ head, socket, getHeader });
       }
     });
@@ -29,6 +31,7 @@
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     countConnections: () => connections,
+    countRequests: () => requests,
     nextRequest: () => queue.next(),
     [Symbol.asyncDispose]: () =>
       new Promise((resolve) => {
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -21,6 +21,7 @@
 import { handleTargetList } from './steps/handleTargetList.js';
 import type { StepResult } from './steps/stepResult.js';
 import type { StepContext } from './steps/stepContext.js';
+import { endOpenRequests } from './steps/endOpenRequests.js';
 import { handleTick } from './steps/handleTick.js';
 
 const applyConfiguration = (
@@ -102,6 +103,8 @@
       return createStepResult({ ...state, settings: event.settings });
     case 'drainStarted':
       return createStepResult({ ...state, isLeaving: true, digestSentAtMs: -Infinity });
+    case 'drainTimeUp':
+      return endOpenRequests(state, context);
     case 'ticked':
       return handleTick(state, context);
   }
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -44,6 +44,8 @@
   | { readonly type: 'settingsRead'; readonly settings: RoutingSettings }
   /** The entry is about to stop. */
   | { readonly type: 'drainStarted' }
+  /** The entry exits in a moment: each open request has to get its final response now. */
+  | { readonly type: 'drainTimeUp' }
   /** The list of targets was requested and has not changed. */
   | { readonly type: 'targetsConfirmed' }
   /** The periodic timer fired. */
