Relay: each response leaves with a length or in chunks

Cause: the lack of framing was handed on, so any end of the entry's process, also one by SIGKILL, looked like the regular end of the response.

Ruled out: resets before the exit alone (after SIGKILL nothing of ours runs).

The change: a length for buffered bodies and chunks for streams, whatever the target sent; HTTP/1.0 callers, who know no chunks, get a reset when a response is broken off, also by the exit and by a second signal. Why it works: the end of the framing is written only once the target's end is known to be regular.

--- a/packages/router/src/callers/callersServer.ts
+++ b/packages/router/src/callers/callersServer.ts
@@ -12,4 +12,6 @@
   readonly stopListening: () => void;
   /** Closes the connections on which a request was answered and that have been idle for a while. */
   readonly closeIdleConnections: () => void;
+  /** Closes the connections with an open request so that no response looks complete. */
+  readonly breakOffResponses: () => void;
 }
--- a/packages/router/src/callers/connectionTracker.ts
+++ b/packages/router/src/callers/connectionTracker.ts
@@ -16,4 +16,6 @@
   readonly countUsedConnections: () => number;
   /** Closes the connections on which a request was answered and that have been idle for a while. */
   readonly closeIdleConnections: () => void;
+  /** Closes the connections with an open request so that no response looks complete. */
+  readonly breakOffResponses: () => void;
 }
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -52,6 +52,10 @@
       server.close();
     },
     closeIdleConnections: connections.closeIdleConnections,
-    [Symbol.asyncDispose]: () => closeHttp(server),
+    breakOffResponses: connections.breakOffResponses,
+    [Symbol.asyncDispose]: () => {
+      connections.breakOffResponses();
+      return closeHttp(server);
+    },
   };
 };
--- a/packages/router/src/callers/createConnectionTracker.ts
+++ b/packages/router/src/callers/createConnectionTracker.ts
@@ -1,12 +1,19 @@
+import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { breakOffResponse } from './breakOffResponse.js';
 import type { ConnectionTracker } from './connectionTracker.js';
 
 /** A caller that sends its next request as soon as it has a response does so within this time, across its network. */
 const MIN_IDLE_MS = 250;
 
+interface OpenRequest {
+  readonly response: ServerResponse;
+  readonly handle: () => void;
+}
+
 interface TrackedConnection {
-  /** Handlers of the requests without a complete response; the first one is running. */
-  readonly handlers: (() => void)[];
+  /** The requests without a complete response; the first one is being handled. */
+  readonly openRequests: OpenRequest[];
   hasBeenUsed: boolean;
   idleSinceMs: number;
   /** Bytes beyond this count belong to the next request. */
@@ -18,22 +25,22 @@
   const connections = new Map<Socket, TrackedConnection>();
 
   const endRequest = (socket: Socket, connection: TrackedConnection): void => {
-    connection.handlers.shift();
+    connection.openRequests.shift();
     connection.idleSinceMs = getNowMs();
     connection.bytesReadWhenIdle = socket.bytesRead;
-    connection.handlers[0]?.();
+    connection.openRequests[0]?.handle();
   };
 
   const isIdle = (socket: Socket, connection: TrackedConnection): boolean =>
     connection.hasBeenUsed &&
-    connection.handlers.length === 0 &&
+    connection.openRequests.length === 0 &&
     socket.bytesRead === connection.bytesReadWhenIdle &&
     getNowMs() - connection.idleSinceMs >= MIN_IDLE_MS;
 
   return {
     addConnection: (socket) => {
       connections.set(socket, {
-        handlers: [],
+        openRequests: [],
         hasBeenUsed: false,
         idleSinceMs: getNowMs(),
         bytesReadWhenIdle: 0,
@@ -48,16 +55,16 @@
         return;
       }
       connection.hasBeenUsed = true;
-      connection.handlers.push(handle);
+      connection.openRequests.push({ response, handle });
       response.once('close', () => {
         endRequest(socket, connection);
       });
-      if (connection.handlers.length === 1) {
+      if (connection.openRequests.length === 1) {
         handle();
       }
     },
     countOpenRequests: () =>
-      [...connections.values()].reduce((count, { handlers }) => count + handlers.length, 0),
+      [...connections.values()].reduce((count, { openRequests }) => count + openRequests.length, 0),
     countUsedConnections: () =>
       [...connections.values()].filter(({ hasBeenUsed }) => hasBeenUsed).length,
     closeIdleConnections: () => {
@@ -66,5 +73,12 @@
         .filter(([socket, connection]) => isIdle(socket, connection))
         .forEach(([socket]) => socket.destroy());
     },
+    breakOffResponses: () => {
+      [...connections.values()]
+        .flatMap(({ openRequests }) => openRequests.slice(0, 1))
+        .forEach(({ response }) => {
+          breakOffResponse(response);
+        });
+    },
   };
 };
--- a/packages/router/src/callers/createRelay.ts
+++ b/packages/router/src/callers/createRelay.ts
@@ -1,4 +1,5 @@
 import { selectForwardedHeaders } from '../requests/selectForwardedHeaders.js';
+import { breakOffResponse } from './breakOffResponse.js';
 import type { RawHeaders } from '../requests/rawHeaders.js';
 import type { Caller } from './caller.js';
 import type { Relay } from './relay.js';
@@ -12,25 +13,19 @@
 ): Relay => {
   let lastEventId = headers.lastEventId;
   let eventCount = 0;
-  let head:
-    | { readonly status: number; readonly headers: RawHeaders; readonly hasFraming: boolean }
-    | undefined;
+  let head: { readonly status: number; readonly headers: RawHeaders } | undefined;
 
   const sendHead = (bodyLength?: number): void => {
     if (response.headersSent || head === undefined) {
       return;
     }
-    if (isShuttingDown() || !head.hasFraming) {
+    if (isShuttingDown()) {
       response.shouldKeepAlive = false;
     }
-    // A target's response without framing headers may be incomplete, so the caller's response gets none either and
-    // ends with its connection, too.
-    response.useChunkedEncodingByDefault = head.hasFraming;
+    // The length or the chunks tell the caller whether the response is complete, however this process ends.
     response.writeHead(head.status, [
       ...selectForwardedHeaders(head.headers, NO_EXCLUDED_NAMES),
-      ...(bodyLength === undefined || !head.hasFraming
-        ? []
-        : ['Content-Length', String(bodyLength)]),
+      ...(bodyLength === undefined ? [] : ['Content-Length', String(bodyLength)]),
     ]);
   };
 
@@ -39,9 +34,9 @@
     getLastEventId: () => lastEventId,
     countEvents: () => eventCount,
     hasSentHead: () => response.headersSent,
-    setHead: (status, rawHeaders, hasFraming) => {
+    setHead: (status, rawHeaders) => {
       if (!response.headersSent) {
-        head = { status, headers: rawHeaders, hasFraming };
+        head = { status, headers: rawHeaders };
       }
     },
     write: (bytes, eventId) => {
@@ -61,11 +56,7 @@
       response.end(body);
     },
     breakOff: () => {
-      // A response without framing headers ends with its connection, so only a reset tells that it is incomplete.
-      if (response.headersSent && head?.hasFraming === false) {
-        response.socket?.resetAndDestroy();
-      }
-      response.destroy();
+      breakOffResponse(response);
     },
   };
 };
--- a/packages/router/src/callers/relay.ts
+++ b/packages/router/src/callers/relay.ts
@@ -8,7 +8,7 @@
   readonly countEvents: () => number;
   readonly hasSentHead: () => boolean;
   /** Sets the head of the response, unless one was sent to the caller already. */
-  readonly setHead: (status: number, headers: RawHeaders, hasFraming: boolean) => void;
+  readonly setHead: (status: number, headers: RawHeaders) => void;
   /** Sends bytes; returns whether more can be sent now. */
   readonly write: (bytes: Buffer, eventId?: string) => boolean;
   readonly end: () => void;
--- a/packages/router/src/process/createGracefulShutdown.ts
+++ b/packages/router/src/process/createGracefulShutdown.ts
@@ -73,6 +73,7 @@
         if (advanceShutdown(performance.now() - startedAtMs)) {
           clearInterval(checkTimer);
           logger.write({ name: 'stopped', fields: { open: getCallers().countOpenRequests() } });
+          getCallers().breakOffResponses();
           resolveStopped();
         }
       }, CHECK_PERIOD_MS);
--- a/packages/router/src/requests/createBufferedSink.ts
+++ b/packages/router/src/requests/createBufferedSink.ts
@@ -11,24 +11,22 @@
   let chunks: Buffer[] = [];
   let bufferedBytes = 0;
   let isRelayed = false;
-  let head:
-    | { readonly status: number; readonly rawHeaders: RawHeaders; readonly hasFraming: boolean }
-    | undefined;
+  let head: { readonly status: number; readonly rawHeaders: RawHeaders } | undefined;
 
   const flush = (): boolean => {
     if (head === undefined) {
       return true;
     }
-    relay.setHead(head.status, head.rawHeaders, head.hasFraming);
+    relay.setHead(head.status, head.rawHeaders);
     const canAcceptMore = chunks.length === 0 || relay.write(Buffer.concat(chunks));
     chunks = [];
     return canAcceptMore;
   };
 
   return {
-    handleHead: (status, headers, rawHeaders, hasFraming) => {
+    handleHead: (status, headers, rawHeaders) => {
       isRelayed = reporter.reportHead(status, headers);
-      head = { status, rawHeaders, hasFraming };
+      head = { status, rawHeaders };
     },
     handleBytes: (bytes) => {
       if (!isRelayed) {
@@ -51,7 +49,7 @@
         flush();
         relay.end();
       } else if (head !== undefined) {
-        relay.setHead(head.status, head.rawHeaders, head.hasFraming);
+        relay.setHead(head.status, head.rawHeaders);
         relay.endWithBody(Buffer.concat(chunks));
       }
       reporter.reportEnd(0);
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -63,11 +63,11 @@
   };
 
   return {
-    handleHead: (status, headers, rawHeaders, hasFraming) => {
+    handleHead: (status, headers, rawHeaders) => {
       isRelayed = reporter.reportHead(status, headers);
       isEventStream = headers['content-type']?.includes('text/event-stream') ?? false;
       if (isRelayed) {
-        relay.setHead(status, rawHeaders, hasFraming);
+        relay.setHead(status, rawHeaders);
       }
     },
     handleBytes: (bytes) => {
--- a/packages/router/src/targets/createTargetClient.ts
+++ b/packages/router/src/targets/createTargetClient.ts
@@ -123,7 +123,7 @@
         connection.recordProgress();
         hasFraming = hasFramingHeaders(responseHeaders);
         canReuseConnection = hasFraming && !hasConnectionClose(responseHeaders);
-        sink.handleHead(status, responseHeaders, readRawHeaders(startedController), hasFraming);
+        sink.handleHead(status, responseHeaders, readRawHeaders(startedController));
       },
       onResponseData: (startedController, chunk) => {
         connection.recordProgress();
--- a/packages/router/tests/stop.test.ts
+++ b/packages/router/tests/stop.test.ts
@@ -7,6 +7,7 @@
 import { startTestRouter } from './support/startTestRouter.js';
 import { toChunk } from './support/toChunk.js';
 import { toEvent } from './support/toEvent.js';
+import { watchEnd } from './support/watchEnd.js';
 
 const RESPONSE_HEAD = 'HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n';
 const WHOLE_RESPONSE = `${RESPONSE_HEAD}Content-Length: 2\r\n\r\nok`;
@@ -92,6 +93,26 @@
     await router.whenStopped;
     expect(target.countRequests()).toBe(1);
   });
+
+  // Guards against ORDER in review/4: a stream without a length that the end of a stop cut looked complete.
+  it.each(['1.1', '1.0'])(
+    'ends an unframed stream to an HTTP/%s caller visibly at the time limit',
+    async (version) => {
+      await using target = await startRawTarget();
+      await using router = await startTestRouter([target], { stopWithinMs: 900 });
+      const caller = sendRequest(router, '/stream/x', '', version);
+      const whenEnded = watchEnd(caller);
+      const { socket } = await target.nextRequest();
+      socket.write(`${RESPONSE_HEAD}Content-Type: text/event-stream\r\n\r\n${toEvent(1)}`);
+      await caller.waitForText('data: 1');
+      router.requestStop();
+      const answer = await caller.whenClosed;
+      const isChunked = answer.includes('Transfer-Encoding: chunked');
+      expect(isChunked || (await whenEnded) === 'reset').toBe(true);
+      expect(answer.endsWith(LAST_CHUNK)).toBe(false);
+      await router.whenStopped;
+    },
+  );
 });
 
 describe('the server for callers', () => {
@@ -119,4 +140,24 @@
     await once(socket, 'close');
     expect(receivedBytes).toBeGreaterThan(LARGE_BODY_BYTES);
   });
+
+  // Guards against ORDER: a response cut by the end of the process, which had ended but was not written out to a slow
+  // reader, looked complete to an HTTP/1.0 caller, who knows its end by its connection alone.
+  it('resets a connection whose response without framing is not written out', async () => {
+    await using server = createCallersServer({
+      handle: (_, response) => {
+        response.write('begun');
+        response.end(Buffer.alloc(LARGE_BODY_BYTES));
+      },
+      recordConnection: () => undefined,
+    });
+    const [host = '', port = ''] = (await server.listen('127.0.0.1:0')).split(':');
+    const socket = connect({ host, port: Number(port) });
+    socket.write('GET / HTTP/1.0\r\n\r\n');
+    await once(socket, 'readable');
+    const ended = once(socket, 'end');
+    server.breakOffResponses();
+    socket.resume();
+    await expect(ended).rejects.toThrow('ECONNRESET');
+  });
 });
