Streams: nothing but the numbered events of a stream reaches its caller

Cause: ids were compared only where both were whole numbers, any block with other bytes than comments counted as an event, and ids were compared with the last one relayed in place of the last one of the same response.

Ruled out: broken framing (the client ends such a connection); pieces of two runs (each test has one target).

The change: the codec states the format of events; a block is a comment, an event of known fields or malformed; within one response each number follows the one before. Anything else fails the send, and a stream that may be resumed goes on after its last sound event. Streams of the product's own codec need no ids unless they may be resumed. Why it works: what the target did not make has no place in that order.

--- a/packages/router/src/requests/createEventSplitter.ts
+++ b/packages/router/src/requests/createEventSplitter.ts
@@ -1,12 +1,9 @@
-import { toOptionalField } from '@parsleyhall/common';
 import type { EventSplitter } from './eventSplitter.js';
+import { parseBlock } from './parseBlock.js';
 import type { SplitBlock } from './splitBlock.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-/** A block of comments and empty lines, which targets send to keep a connection open. */
-const BLOCK_WITHOUT_EVENT = /^(?::[^\n]*\n|\r?\n)+$/;
-const ID_LINE = /^id: ?(.*?)\r?$/m;
 
 /** The position after the blank line that ends the first event; -1 if no event is complete. */
 const findEventEnd = (bytes: Buffer, from: number): number => {
@@ -21,17 +18,8 @@
   return -1;
 };
 
-const parseBlock = (bytes: Buffer): SplitBlock => {
-  const text = bytes.toString('latin1');
-  return {
-    bytes,
-    isEvent: !BLOCK_WITHOUT_EVENT.test(text),
-    ...toOptionalField('id', ID_LINE.exec(text)?.[1]),
-  };
-};
-
-/** Creates a splitter for a new stream. */
-export const createEventSplitter = (): EventSplitter => {
+/** Creates a splitter for a new stream; its events may have these fields besides the standard ones. */
+export const createEventSplitter = (extraFields: ReadonlySet<string>): EventSplitter => {
   let buffered: Buffer = Buffer.alloc(0);
   return {
     push: (bytes) => {
@@ -39,7 +27,7 @@
       const blocks: SplitBlock[] = [];
       let start = 0;
       for (let end = findEventEnd(buffered, start); end >= 0; end = findEventEnd(buffered, start)) {
-        blocks.push(parseBlock(buffered.subarray(start, end)));
+        blocks.push(parseBlock(buffered.subarray(start, end), extraFields));
         start = end;
       }
       buffered = buffered.subarray(start);
--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -105,6 +105,7 @@
       headers: { attemptId },
     } = openRequest.caller;
     const { targetId, team, remainingMs } = send;
+    const { eventFormat } = codec;
     const lastEventId = openRequest.relay.getLastEventId();
     const reporter = createSendReporter(openRequest, send);
     const decidedAtMs = performance.now();
@@ -132,7 +133,13 @@
       },
       send.isBuffered
         ? createBufferedSink(openRequest.relay, reporter)
-        : createStreamingSink(openRequest.relay, reporter, () => performance.now()),
+        : createStreamingSink(
+            openRequest.relay,
+            reporter,
+            // A stream can be resumed only after an event with a number.
+            { ...eventFormat, isNumbered: eventFormat.isNumbered || send.isResumable },
+            () => performance.now(),
+          ),
     );
   };
 
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -1,33 +1,24 @@
 import type { Relay } from '../callers/relay.js';
 import type { ResponseSink } from '../targets/responseSink.js';
+import { createEventOrder } from './createEventOrder.js';
 import { createEventSplitter } from './createEventSplitter.js';
+import type { EventFormat } from './eventFormat.js';
+import type { SplitBlock } from './splitBlock.js';
 import type { SendReporter } from './sendReporter.js';
 
 const PROGRESS_REPORT_PERIOD_MS = 100;
 /** A stream with a longer event is treated as malformed. */
 const MAX_EVENT_BYTES = 1_048_576;
 
-const isWholeNumber = (value: string): boolean => /^\d+$/.test(value);
-
-/** Compares the id of an event with that of the last event that the caller has received. */
-const compareIds = (last: string | undefined, next: string): 'next' | 'duplicate' | 'gap' => {
-  if (last === undefined || !isWholeNumber(last) || !isWholeNumber(next)) {
-    return 'next';
-  }
-  const difference = Number(next) - Number(last);
-  if (difference <= 0) {
-    return 'duplicate';
-  }
-  return difference === 1 ? 'next' : 'gap';
-};
-
 /** Creates a sink that relays a stream event by event, so that another target can continue it after any event. */
 export const createStreamingSink = (
   relay: Relay,
   reporter: SendReporter,
+  eventFormat: EventFormat,
   getNowMs: () => number,
 ): ResponseSink => {
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter(eventFormat.extraFields);
+  const placeEvent = createEventOrder(eventFormat.isNumbered, relay.getLastEventId);
   let isRelayed = false;
   let isEventStream = true;
   let lastReportAtMs = -Infinity;
@@ -40,21 +31,36 @@
     }
   };
 
+  /** Returns whether more can be sent now; undefined if the target did not make the block as part of the stream. */
+  const relayBlock = (block: SplitBlock): boolean | undefined => {
+    if (block.kind === 'comment') {
+      return relay.write(block.bytes);
+    }
+    if (block.kind === 'malformed') {
+      return undefined;
+    }
+    const position = placeEvent(block.id);
+    if (position === 'outOfOrder') {
+      return undefined;
+    }
+    if (position === 'repeated') {
+      return true;
+    }
+    const canAcceptMore = relay.write(block.bytes, block.id);
+    // A target that only keeps the connection open makes no progress.
+    reportProgress();
+    return canAcceptMore;
+  };
+
   const relayEvents = (bytes: Buffer): boolean => {
     let canAcceptMore = true;
-    for (const { bytes: block, isEvent, id } of splitter.push(bytes)) {
-      const order = id === undefined ? 'next' : compareIds(relay.getLastEventId(), id);
-      if (order === 'gap' && relay.countEvents() > 0) {
+    for (const block of splitter.push(bytes)) {
+      const result = relayBlock(block);
+      if (result === undefined) {
         reporter.reportFailure('malformed');
         return true;
       }
-      if (order !== 'duplicate') {
-        canAcceptMore = relay.write(block, id);
-        // A target that only keeps the connection open makes no progress.
-        if (isEvent) {
-          reportProgress();
-        }
-      }
+      canAcceptMore &&= result;
     }
     if (splitter.countIncompleteBytes() > MAX_EVENT_BYTES) {
       reporter.reportFailure('malformed');
--- /dev/null
+++ b/packages/router/src/requests/eventFormat.ts
@@ -0,0 +1,7 @@
+/** How targets write the events of their streams. */
+export interface EventFormat {
+  /** Whether each event has an id that is a whole number, one higher than that of the event before. */
+  readonly isNumbered: boolean;
+  /** Lower-case names of fields that events may have besides the standard ones. */
+  readonly extraFields: ReadonlySet<string>;
+}
--- a/packages/router/src/requests/eventSplitter.ts
+++ b/packages/router/src/requests/eventSplitter.ts
@@ -1,6 +1,6 @@
 import type { SplitBlock } from './splitBlock.js';
 
-/** Splits the bytes of a stream into complete blocks, which are events or comments. */
+/** Splits the bytes of a stream into complete blocks, which are events, comments or malformed. */
 export interface EventSplitter {
   /** Returns the blocks that these bytes complete. */
   readonly push: (bytes: Buffer) => readonly SplitBlock[];
--- a/packages/router/src/requests/splitBlock.ts
+++ b/packages/router/src/requests/splitBlock.ts
@@ -1,8 +1,8 @@
 /** A part of a stream that ends with a blank line. */
-export interface SplitBlock {
-  readonly bytes: Buffer;
-  /** False if it holds nothing but comments. */
-  readonly isEvent: boolean;
-  /** The id of the event, if it states one. */
-  readonly id?: string;
-}
+export type SplitBlock =
+  /** Comments and empty lines, which targets send to keep a connection open. */
+  | { readonly kind: 'comment'; readonly bytes: Buffer }
+  /** An event, with its id if it states one. */
+  | { readonly kind: 'event'; readonly bytes: Buffer; readonly id?: string }
+  /** Bytes that are neither; a faulty target sent them. */
+  | { readonly kind: 'malformed'; readonly bytes: Buffer };
--- /dev/null
+++ b/packages/router/tests/eventOrder.test.ts
@@ -0,0 +1,109 @@
+import { describe, expect, it } from 'vitest';
+import { createEventOrder } from '../src/requests/createEventOrder.js';
+import { parseBlock } from '../src/requests/parseBlock.js';
+import { sendRequest } from './support/sendRequest.js';
+import { startRawTarget } from './support/startRawTarget.js';
+import { startTestRouter } from './support/startTestRouter.js';
+import { RequestQueue } from './support/requestQueue.js';
+import { toChunk } from './support/toChunk.js';
+import { toEvent } from './support/toEvent.js';
+
+const STREAM_HEAD =
+  'HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+const LAST_CHUNK = '0\r\n\r\n';
+
+/** Blocks that a target never makes as parts of a stream that has come to event 2. */
+const GARBAGE: readonly (readonly [string, string])[] = [
+  ['a line of text', 'garbage\n\n'],
+  ['a line of text before an event', `garbage\n${toEvent(3)}`],
+  ['an unknown field before an event', `garbage: 1\n${toEvent(3)}`],
+  ['data without an id', 'data: 3\n\n'],
+  ['an empty id', 'id: \ndata: 3\n\n'],
+  ['a negative id', 'id: -7\ndata: 3\n\n'],
+  ['an id that is no number', 'id: 9f\ndata: 3\n\n'],
+  ['an id with a leading zero', 'id: 03\ndata: 3\n\n'],
+  ['two ids', 'id: 3\nid: 4\ndata: 3\n\n'],
+  ['the id of the event before', toEvent(2)],
+  ['an id that goes back', toEvent(1)],
+  ['an id that leaves events out', toEvent(4)],
+  ['a response head', 'HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\n'],
+];
+
+describe('a stream in which a target sends something that it did not make', () => {
+  // Guards against ORDER in users' runs: a faulty target's bytes reached callers as an event of a complete stream.
+  it.each(GARBAGE)('breaks off before it (%s)', async (_, garbage) => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = sendRequest(router, '/stream/x');
+    const { socket } = await target.nextRequest();
+    const events = toChunk(toEvent(1)) + toChunk(toEvent(2));
+    socket.write(STREAM_HEAD + events + toChunk(garbage) + toChunk(toEvent(3)) + LAST_CHUNK);
+    expect((await caller.whenClosed).endsWith(events)).toBe(true);
+  });
+
+  it.each(GARBAGE)('goes on at another target if it may be resumed (%s)', async (_, garbage) => {
+    const queue = new RequestQueue();
+    await using first = await startRawTarget(queue);
+    await using second = await startRawTarget(queue);
+    await using router = await startTestRouter([first, second]);
+    const caller = sendRequest(router, '/resumableStream/x');
+    const faulty = await queue.next();
+    const events = toChunk(toEvent(1)) + toChunk(toEvent(2));
+    faulty.socket.write(STREAM_HEAD + events + toChunk(garbage) + toChunk(toEvent(3)) + LAST_CHUNK);
+    const resumed = await queue.next();
+    expect(resumed.getHeader('last-event-id')).toBe('2');
+    resumed.socket.write(STREAM_HEAD + toChunk(toEvent(3)) + LAST_CHUNK);
+    const answer = await caller.waitForText(LAST_CHUNK);
+    expect(answer.endsWith(events + toChunk(toEvent(3)) + LAST_CHUNK)).toBe(true);
+  });
+});
+
+describe('a sound stream', () => {
+  it.each([
+    ['comments', ': still here\n\n'],
+    ['blank lines', '\n\r\n'],
+    ['a field that targets add', 'version: 7\nid: 2\ndata: 2\n\n'],
+    ['lines that end with a carriage return', 'id: 2\r\ndata: 2\r\n\r\n'],
+    ['several lines of data', 'id: 2\ndata: 2\ndata: 3\n\n'],
+  ])('is relayed whole (%s)', async (_, block) => {
+    await using target = await startRawTarget();
+    await using router = await startTestRouter([target]);
+    const caller = sendRequest(router, '/stream/x');
+    const { socket } = await target.nextRequest();
+    socket.write(STREAM_HEAD + toChunk(toEvent(1)) + toChunk(block) + LAST_CHUNK);
+    const answer = await caller.waitForText(LAST_CHUNK);
+    const body = answer.slice(answer.indexOf('\r\n\r\n') + 4);
+    expect(body.replace(/(?:\r\n|^)[0-9a-f]+\r\n/g, '')).toContain(toEvent(1));
+    expect(body).toContain(block);
+  });
+
+  it('need not number its events where the format leaves that open, from its start to its end', () => {
+    const place = createEventOrder(false, () => undefined);
+    expect([undefined, undefined, 'x', '1', undefined].map(place)).toEqual([
+      'next',
+      'next',
+      'next',
+      'next',
+      'outOfOrder',
+    ]);
+  });
+});
+
+describe('a stream that is resumed', () => {
+  it.each([
+    { lastId: '4', ids: ['5', '6'], positions: ['next', 'outOfOrder'] },
+    { lastId: '4', ids: ['3', '4', '5'], positions: ['repeated', 'repeated', 'next'] },
+    { lastId: '4', ids: ['6'], positions: ['outOfOrder'] },
+    { lastId: 'x', ids: ['1'], positions: ['next'] },
+  ])('after $lastId places $ids as $positions', ({ lastId, ids, positions }) => {
+    expect(ids.map(createEventOrder(true, () => lastId))).toEqual(positions);
+  });
+});
+
+describe('a block', () => {
+  it('has the id that it states, and may have unknown fields only if they are listed', () => {
+    const bytes = Buffer.from('version: 7\nid: 2\ndata: 2\n\n');
+    expect(parseBlock(bytes, new Set(['version']))).toEqual({ kind: 'event', bytes, id: '2' });
+    expect(parseBlock(bytes, new Set())).toEqual({ kind: 'malformed', bytes });
+  });
+});
--- a/packages/router/tests/streamProgress.test.ts
+++ b/packages/router/tests/streamProgress.test.ts
@@ -32,6 +32,7 @@
       reportEnd: () => undefined,
       reportFailure: (failure) => failures.push(failure),
     },
+    { isNumbered: true, extraFields: new Set() },
     () => nowMs,
   );
   sink.handleHead(200, EVENT_STREAM, []);
--- a/packages/routing/src/requests/startSend.ts
+++ b/packages/routing/src/requests/startSend.ts
@@ -51,6 +51,7 @@
       ...(request.team === undefined ? {} : { team: request.team }),
       remainingMs: Math.ceil(request.deadlineAtMs - nowMs),
       isBuffered: !isStream(request.route),
+      isResumable: request.route.kind === 'resumableStream',
     },
     {
       type: 'observe',
--- a/packages/routing/src/routingEffect.ts
+++ b/packages/routing/src/routingEffect.ts
@@ -17,6 +17,8 @@
       readonly remainingMs: number;
       /** The response is not a stream and is buffered until it is complete. */
       readonly isBuffered: boolean;
+      /** The response is a stream that another target can continue. */
+      readonly isResumable: boolean;
     }
   /** Cancels a send and ignores the rest of its response. */
   | { readonly type: 'cancelSend'; readonly requestId: number; readonly sendId: number }
