Stop: more of the time limit is left for the exit

After the final responses at the time limit a slow reader held the process up to 200 ms before the limit, and the flush of the log may take as long; 300 ms leave room for it.

--- a/packages/router/src/process/createGracefulShutdown.ts
+++ b/packages/router/src/process/createGracefulShutdown.ts
@@ -9,7 +9,7 @@
 /** Part of the time limit that is reserved for final responses and for the process to exit. */
 const END_MARGIN_MS = 400;
 /** Part of the time limit that is reserved for the process to exit. */
-const EXIT_MARGIN_MS = 200;
+const EXIT_MARGIN_MS = 300;
 const CHECK_PERIOD_MS = 100;
 
 /** Creates the graceful shutdown of a process that serves callers. */
