--- a/packages/soak/src/checks/findViolations.ts
+++ b/packages/soak/src/checks/findViolations.ts
@@ -82,7 +82,6 @@
             request.leftMs === undefined &&
             !request.isWhole &&
             request.endedMs !== undefined &&
-            request.sentMs < fromMs &&
             request.endedMs >= fromMs &&
             request.endedMs <= untilMs &&
             runsById
--- a/packages/soak/src/plan/createFaultPlan.ts
+++ b/packages/soak/src/plan/createFaultPlan.ts
@@ -10,6 +10,10 @@
 const PATH_FAULTS_SEED_MASK = 0x5bd1e995;
 /** The same for faults that requests and targets bring about by what they state. */
 const STATEMENT_FAULTS_SEED_MASK = 0x2c1b3c6d;
+/** The same for faults of targets' responses. */
+const ANSWER_FAULTS_SEED_MASK = 0x6f2d9b17;
+const ANSWER_FAULTS = ['unframed', 'garbage'] as const;
+const MAX_ANSWER_FAULTS = 3;
 /** Long enough that requests with the part still come when it must have been recognized. */
 const MIN_STATEMENT_DURATION_MS = 6_000;
 const MAX_STATEMENT_DURATION_MS = 9_000;
@@ -83,6 +87,16 @@
     state: FAULTY_PROXY_STATES[drawPathInteger(0, FAULTY_PROXY_STATES.length - 1)] ?? 'silent',
   });
 
+  const drawAnswerFaults = (): readonly Fault[] => {
+    const draw = createDrawInteger(seed ^ ANSWER_FAULTS_SEED_MASK);
+    return Array.from({ length: draw(0, MAX_ANSWER_FAULTS) }, () => ({
+      kind: ANSWER_FAULTS[draw(0, ANSWER_FAULTS.length - 1)] ?? 'unframed',
+      atMs: draw(0, faultDurationMs),
+      forMs: draw(MIN_FAULT_DURATION_MS, MAX_FAULT_DURATION_MS),
+      target: draw(0, targets - 1),
+    }));
+  };
+
   const drawStatementFaults = (): readonly Fault[] => {
     const draw = createDrawInteger(seed ^ STATEMENT_FAULTS_SEED_MASK);
     const drawTimes = () => ({
@@ -106,6 +120,7 @@
 
   return [
     ...drawStatementFaults(),
+    ...drawAnswerFaults(),
     ...Array.from({ length: drawInteger(MIN_FAULTS, MAX_FAULTS) }, drawFaults).flat(),
     ...Array.from({ length: drawPathInteger(0, MAX_PATH_FAULTS) }, drawPathFault),
   ].sort((left, right) => left.atMs - right.atMs);
--- a/packages/soak/src/plan/fault.ts
+++ b/packages/soak/src/plan/fault.ts
@@ -1,3 +1,4 @@
+import type { AnswerFault } from '../system/answerFault.js';
 import type { ProxyState } from '../system/proxyState.js';
 
 /**
@@ -35,6 +36,13 @@
       readonly target: number;
       readonly forMs: number;
     }
+  /** Part of a target's responses lack framing, or have garbage between events. */
+  | {
+      readonly kind: AnswerFault;
+      readonly atMs: number;
+      readonly target: number;
+      readonly forMs: number;
+    }
   /** The request rate is multiplied by `times`. */
   | {
       readonly kind: 'burst';
--- a/packages/soak/src/plan/injectFault.ts
+++ b/packages/soak/src/plan/injectFault.ts
@@ -35,6 +35,12 @@
       await sleep(fault.forMs);
       targets[fault.target]?.setSlow(false);
       return;
+    case 'unframed':
+    case 'garbage':
+      targets[fault.target]?.setAnswerFault(fault.kind);
+      await sleep(fault.forMs);
+      targets[fault.target]?.setAnswerFault(undefined);
+      return;
     case 'path':
       targets[fault.target]?.setProxyState(fault.state);
       await sleep(fault.forMs);
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -71,6 +71,7 @@
         recordRun: (run) => history.runs.push(run),
         recordCrash: (crash) => history.crashes.push(crash),
         statesLimits: plantedFault !== 'unstatedLimits',
+        plantedFault,
         random,
       }),
     ),
@@ -88,6 +89,7 @@
         peers,
         disturbances: history.disturbances,
         trustedPromptParts: plantedFault === 'trustedParts' ? POISON_PARTS : [],
+        stopSignal: plantedFault === 'killedStops' ? 'SIGKILL' : 'SIGTERM',
       }),
     ),
   );
--- a/packages/soak/src/system/soakTarget.ts
+++ b/packages/soak/src/system/soakTarget.ts
@@ -1,3 +1,4 @@
+import type { AnswerFault } from './answerFault.js';
 import type { ProxyState } from './proxyState.js';
 
 /** A target in the process of the soak, behind a fault proxy. */
@@ -6,6 +7,8 @@
   readonly address: string;
   /** Whether the target breaks off part of its requests. */
   readonly setResetting: (isResetting: boolean) => void;
+  /** Sets what is wrong with part of its responses; undefined for nothing. */
+  readonly setAnswerFault: (fault: AnswerFault | undefined) => void;
   readonly setSlow: (isSlow: boolean) => void;
   /** Sets whether a part of prompts crashes the target. */
   readonly setPoison: (part: string, isPoison: boolean) => void;
--- a/packages/soak/src/system/startFaultProxy.ts
+++ b/packages/soak/src/system/startFaultProxy.ts
@@ -46,7 +46,7 @@
   const forwardFrom = (
     from: Socket,
     to: Socket,
-    handleClose: () => void,
+    handleClose: (hadError: boolean) => void,
     recordRead: () => void,
   ): void => {
     sockets.add(from);
@@ -56,9 +56,9 @@
       from.pause();
       forwardBytes(from, to, bytes, state === 'delayed' ? getNowMs() + DELAY_MS : 0);
     });
-    from.once('close', () => {
+    from.once('close', (hadError) => {
       sockets.delete(from);
-      handleClose();
+      handleClose(hadError);
     });
   };
 
@@ -89,7 +89,13 @@
     forwardFrom(
       upstream,
       client,
-      () => client.end(),
+      (hadError) => {
+        if (hadError) {
+          client.resetAndDestroy();
+        } else {
+          client.end();
+        }
+      },
       () => undefined,
     );
   });
--- a/packages/soak/src/system/startSoakEntry.ts
+++ b/packages/soak/src/system/startSoakEntry.ts
@@ -34,6 +34,7 @@
   peers,
   disturbances,
   trustedPromptParts,
+  stopSignal,
 }: {
   readonly index: number;
   /** For the settings and the logs of the process. */
@@ -43,6 +44,8 @@
   /** Each kill, pause and stop of the entry is added here. */
   readonly disturbances: Disturbance[];
   readonly trustedPromptParts: readonly string[];
+  /** The signal for a graceful shutdown. */
+  readonly stopSignal: 'SIGTERM' | 'SIGKILL';
 }): Promise<SoakEntry> => {
   // Each entry has its own IP address, so that nothing else takes its ports during a restart.
   const ip = peers.ips[index] ?? '127.0.0.1';
@@ -127,7 +130,7 @@
         const detectionTimer = setTimeout(() => {
           isAcceptingRequests = false;
         }, SHUTDOWN_DETECTION_MS);
-        await endProcess('SIGTERM');
+        await endProcess(stopSignal);
         clearTimeout(detectionTimer);
         isAcceptingRequests = false;
         await restartProcess();
--- a/packages/soak/src/system/startSoakTarget.ts
+++ b/packages/soak/src/system/startSoakTarget.ts
@@ -7,9 +7,12 @@
 import type { RequestKind } from '../history/requestKind.js';
 import type { TargetRun } from '../history/targetRun.js';
 import { startFaultProxy } from './startFaultProxy.js';
+import type { AnswerFault } from './answerFault.js';
 import { getNowMs } from './getNowMs.js';
 import { monitorServerReads } from './monitorServerReads.js';
+import type { PlantedFault } from './plantedFault.js';
 import type { SoakTarget } from './soakTarget.js';
+import { writeResponse } from './writeResponse.js';
 
 const ID_HEADER = 'x-request-id';
 const PROMPT_PARTS_HEADER = 'x-prompt-parts';
@@ -17,8 +20,12 @@
 const RESTART_MS = 600;
 const SERVICE_TIME_MS = 15;
 const SLOW_SERVICE_TIME_MS = 900;
-const CHUNK_INTERVAL_MS = 20;
 const RESET_SHARE = 0.5;
+const ANSWER_FAULT_SHARE = 0.5;
+const GARBAGE = 'garbage\n\n';
+/** Garbage that looks like the third event of a stream. */
+const PLANTED_GARBAGE = 'id: 3\ndata: garbage\n\n';
+const EVENTS_BEFORE_GARBAGE = 2;
 const KIND_BY_ROUTE: Readonly<Record<string, RequestKind>> = {
   idempotent: 'idempotent',
   nonIdempotent: 'nonIdempotent',
@@ -34,6 +41,7 @@
   recordRun,
   recordCrash,
   statesLimits,
+  plantedFault,
   random,
 }: {
   readonly name: string;
@@ -41,12 +49,14 @@
   readonly recordCrash: (crash: Crash) => void;
   /** Whether its responses state the limit. */
   readonly statesLimits: boolean;
+  readonly plantedFault: PlantedFault | undefined;
   readonly random: () => number;
 }): Promise<SoakTarget> => {
   const poisonParts = new Set<string>();
   let limit: TargetRun['limit'];
   let isResetting = false;
   let isSlow = false;
+  let answerFault: AnswerFault | undefined;
 
   /** Ends all connections and accepts none until it has started again. */
   const crash = async (part: string): Promise<void> => {
@@ -56,22 +66,6 @@
     proxy.setState('open');
   };
 
-  const writeResponse = async (
-    response: ServerResponse,
-    chunks: readonly string[],
-    isTruncated: boolean,
-  ): Promise<void> => {
-    for (const chunk of isTruncated ? chunks.slice(0, -1) : chunks) {
-      response.write(chunk);
-      await sleep(CHUNK_INTERVAL_MS);
-    }
-    if (isTruncated) {
-      response.destroy();
-      return;
-    }
-    response.end();
-  };
-
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { remotePort } = request.socket;
     const id = String(request.headers[ID_HEADER]);
@@ -79,6 +73,7 @@
       .split(',')
       .filter((part) => part !== '');
     const isFaulty = isResetting && random() < RESET_SHARE;
+    const fault = random() < ANSWER_FAULT_SHARE ? answerFault : undefined;
     recordRun({
       id,
       target: name,
@@ -88,7 +83,7 @@
       ),
       promptParts,
       ...(limit === undefined ? {} : { limit }),
-      isFaulty: isFaulty || isSlow,
+      isFaulty: isFaulty || isSlow || fault !== undefined,
       isPathHarmed: proxy.isImpaired(),
     });
     await sleep(isSlow ? SLOW_SERVICE_TIME_MS : SERVICE_TIME_MS);
@@ -104,13 +99,28 @@
     const kind = getRequestKind(request);
     const body = createResponseBody(id, kind);
     const isStream = kind === 'stream';
+    const isUnframed = fault === 'unframed';
+    response.useChunkedEncodingByDefault = !isUnframed;
+    response.shouldKeepAlive &&= !isUnframed;
     response.writeHead(200, {
       [ID_HEADER]: id,
       ...(limit === undefined || !statesLimits ? {} : { [LIMIT_HEADER]: String(limit.perSecond) }),
       'content-type': isStream ? 'text/event-stream' : 'text/plain',
-      ...(isStream ? {} : { 'content-length': String(body.length) }),
+      ...(isStream || isUnframed ? {} : { 'content-length': String(body.length) }),
     });
-    await writeResponse(response, isStream ? body.split(/(?<=\n\n)/) : [body], isFaulty);
+    const chunks = isStream ? body.split(/(?<=\n\n)/) : [body.slice(0, -1), body.slice(-1)];
+    if (fault === 'garbage' && isStream) {
+      const garbage = plantedFault === 'garbageAsEvent' ? PLANTED_GARBAGE : GARBAGE;
+      chunks.splice(EVENTS_BEFORE_GARBAGE, 0, garbage);
+    }
+    const isTruncated = isFaulty || (isUnframed && random() < RESET_SHARE);
+    const isReset = isUnframed && plantedFault !== 'orderlyTruncation';
+    const truncatedEnd = isReset ? 'reset' : 'closed';
+    await writeResponse(
+      response,
+      isTruncated ? chunks.slice(0, -1) : chunks,
+      isTruncated ? truncatedEnd : 'complete',
+    );
   };
 
   const server = createServer((request, response) => {
@@ -129,6 +139,9 @@
     setSlow: (isEnabled) => {
       isSlow = isEnabled;
     },
+    setAnswerFault: (fault) => {
+      answerFault = fault;
+    },
     setPoison: (part, isPoison) => {
       if (isPoison) {
         poisonParts.add(part);
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -33,10 +33,35 @@
   forMs: 12_000,
 }));
 
+const STOP_PLAN: readonly Fault[] = [500, 3_500].map((atMs, entry) => ({
+  kind: 'stop',
+  atMs,
+  entry,
+}));
+const createAnswerFaultPlan = (kind: 'unframed' | 'garbage'): readonly Fault[] =>
+  [0, 1, 2, 3].map((target) => ({ kind, atMs: 0, target, forMs: 4_000 }));
+
+// Guards against LOST, and ORDER: requests that follow a stream during a stop were lost, streams without framing that an
+// entry cut looked complete, and garbage between events reached callers.
+it('stops, responses without framing and garbage between events violate no guarantee', async () => {
+  const directory = mkdtempSync(join(tmpdir(), 'parsleyhall-soak-'));
+  const plan: readonly Fault[] = [
+    ...STOP_PLAN,
+    ...createAnswerFaultPlan('unframed'),
+    { kind: 'kill', atMs: 2_000, entry: 2 },
+    ...createAnswerFaultPlan('garbage').map((fault) => ({ ...fault, atMs: 5_000 })),
+  ];
+  expect(findViolations(await runSoak(2, { ...SIZE, plan }, directory))).toEqual([]);
+  rmSync(directory, { recursive: true });
+});
+
 // Shows that the checks find what they are there for. The faults last long enough for that on a busy machine, too.
 it.each([
   ['crashedOn', 'trustedParts', POISON_PLAN],
   ['beyondLimit', 'unstatedLimits', LIMIT_PLAN],
+  ['cutByStop', 'killedStops', STOP_PLAN],
+  ['foreignAnswer', 'garbageAsEvent', createAnswerFaultPlan('garbage')],
+  ['foreignAnswer', 'orderlyTruncation', createAnswerFaultPlan('unframed')],
 ] as const)(
   '%s is found in a run with a planted fault (%s)',
   async (guarantee, plantedFault, plan) => {
