--- a/packages/soak/src/callers/runSequentialCaller.ts
+++ b/packages/soak/src/callers/runSequentialCaller.ts
@@ -6,9 +6,11 @@
 const KINDS: readonly RequestKind[] = ['stream', 'nonIdempotent'];
 const PAUSE_MS = 150;
 
+const hasOpenConnection = ({ freeSockets }: Agent): boolean => Object.keys(freeSockets).length > 0;
+
 /**
  * Runs a caller with one connection to an entry: it sends a stream and, as soon as that has ended, its next request; then
- * it pauses. It goes on until it is stopped.
+ * it pauses. It goes on until it is stopped, and uses its connection for as long as that is open.
  */
 export const runSequentialCaller = async ({
   entry,
@@ -22,7 +24,7 @@
 }): Promise<void> => {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
   while (!isStopped()) {
-    if (entry.isAcceptingRequests()) {
+    if (entry.isAcceptingRequests() || hasOpenConnection(agent)) {
       for (const kind of KINDS) {
         await send(kind, agent);
       }
