Logs: what was wrong with a malformed response, and with which event a stream ended

A line sendFailed with 'malformed' told neither which event was at fault nor what the caller had received before it, and requestAnswered didn't tell with which event a stream ended, so the hypotheses of the incident could not be told apart from users' logs. Now sendFailed tells the fault, the event's id, the last id relayed and the media type; requestAnswered the last id, the media type and whether the response was framed; the counter of failed sends has the fault as a label; explain prints it. No logic changes.

--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -10,6 +10,19 @@
   silent: 'sent nothing for too long',
 };
 
+const FAULT_DESCRIPTIONS: Readonly<Record<string, string>> = {
+  notAnEvent: 'bytes that are no event',
+  outOfOrder: 'an event out of order',
+  tooLong: 'an event that never ended',
+};
+
+const describeFault = (failed: ParsedLogLine): string => {
+  const fault = getTextField(failed, 'responseFault');
+  return fault === '-'
+    ? ''
+    : ` (${FAULT_DESCRIPTIONS[fault] ?? fault}: id ${JSON.stringify(getTextField(failed, 'eventId'))} after ${JSON.stringify(getTextField(failed, 'lastEventId'))})`;
+};
+
 const describeSimilarFailures = (similarFailures: readonly ParsedLogLine[]): string => {
   const hosts = new Set(similarFailures.map(({ host }) => host));
   switch (hosts.size) {
@@ -34,5 +47,5 @@
   const failure = getTextField(failed, 'failure');
   const target = getTextField(failed, 'target');
   const afterMs = getNumberField(failed, 'afterMs');
-  return `target ${target} ${FAILURE_DESCRIPTIONS[failure] ?? failure} ${afterMs} ms after the send; ${describeSimilarFailures(similarFailures)}`;
+  return `target ${target} ${FAILURE_DESCRIPTIONS[failure] ?? failure}${describeFault(failed)} ${afterMs} ms after the send; ${describeSimilarFailures(similarFailures)}`;
 };
--- a/packages/router/src/process/recordDecision.ts
+++ b/packages/router/src/process/recordDecision.ts
@@ -3,7 +3,15 @@
 import type { Observation } from '@parsleyhall/routing';
 
 /** Fields that become metric labels because they have few values; teams and requests have too many. */
-const LABEL_FIELDS = ['service', 'tier', 'reason', 'status', 'failure', 'result'] as const;
+const LABEL_FIELDS = [
+  'service',
+  'tier',
+  'reason',
+  'status',
+  'failure',
+  'responseFault',
+  'result',
+] as const;
 /** Durations of an answered request, in milliseconds. */
 const DURATION_FIELDS = ['waitedMs', 'firstMs', 'longestGapMs', 'ageMs'] as const;
 
--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -5,12 +5,14 @@
 import { createArrival } from '../callers/createArrival.js';
 import type { Relay } from '../callers/relay.js';
 import { sendRefusal } from '../callers/sendRefusal.js';
+import { hasFramingHeaders } from '../targets/hasFramingHeaders.js';
 import { createTargetClient } from '../targets/createTargetClient.js';
 import type { Exchange } from '../targets/exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
 import type { RequestTable } from './requestTable.js';
 import { createStreamingSink } from './createStreamingSink.js';
 import { createBufferedSink } from './createBufferedSink.js';
+import { shortenForLog } from './shortenForLog.js';
 import { selectForwardedHeaders } from './selectForwardedHeaders.js';
 import type { SendReporter } from './sendReporter.js';
 
@@ -74,7 +76,13 @@
         const isMismatched =
           attemptId !== openRequest.caller.headers.attemptId ||
           headers['content-encoding'] !== undefined;
-        const head = { ...targetStatements, status, isMismatched };
+        const head = {
+          ...targetStatements,
+          status,
+          isMismatched,
+          isFramed: hasFramingHeaders(headers),
+          ...toOptionalField('mediaType', shortenForLog(headers['content-type'])),
+        };
         dispatch({ type: 'responseHeadReceived', requestId, sendId, head });
         return openRequest.sendId === sendId;
       },
@@ -84,11 +92,24 @@
       reportEnd: (events) => {
         hasEnded = true;
         remove(openRequest);
-        dispatch({ type: 'responseEnded', requestId, sendId, events });
+        const lastEventId = shortenForLog(openRequest.relay.getLastEventId());
+        dispatch({
+          type: 'responseEnded',
+          requestId,
+          sendId,
+          events,
+          ...toOptionalField('lastEventId', lastEventId),
+        });
       },
-      reportFailure: (failure) => {
+      reportFailure: (failure, fault) => {
         if (!hasEnded) {
-          dispatch({ type: 'sendFailed', requestId, sendId, failure });
+          dispatch({
+            type: 'sendFailed',
+            requestId,
+            sendId,
+            failure,
+            ...toOptionalField('fault', fault),
+          });
         }
       },
     };
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -1,8 +1,11 @@
+import { toOptionalField } from '@parsleyhall/common';
+import type { ResponseFault } from '@parsleyhall/routing';
 import type { Relay } from '../callers/relay.js';
 import type { ResponseSink } from '../targets/responseSink.js';
 import { createEventOrder } from './createEventOrder.js';
 import { createEventSplitter } from './createEventSplitter.js';
 import type { EventFormat } from './eventFormat.js';
+import { shortenForLog } from './shortenForLog.js';
 import type { SplitBlock } from './splitBlock.js';
 import type { SendReporter } from './sendReporter.js';
 
@@ -31,16 +34,29 @@
     }
   };
 
+  const reportMalformed = (
+    responseFault: ResponseFault['responseFault'],
+    eventId?: string,
+  ): void => {
+    reporter.reportFailure('malformed', {
+      responseFault,
+      ...toOptionalField('eventId', shortenForLog(eventId)),
+      ...toOptionalField('lastEventId', shortenForLog(relay.getLastEventId())),
+    });
+  };
+
   /** Returns whether more can be sent now; undefined if the target did not make the block as part of the stream. */
   const relayBlock = (block: SplitBlock): boolean | undefined => {
     if (block.kind === 'comment') {
       return relay.write(block.bytes);
     }
     if (block.kind === 'malformed') {
+      reportMalformed('notAnEvent');
       return undefined;
     }
     const position = placeEvent(block.id);
     if (position === 'outOfOrder') {
+      reportMalformed('outOfOrder', block.id);
       return undefined;
     }
     if (position === 'repeated') {
@@ -57,13 +73,12 @@
     for (const block of splitter.push(bytes)) {
       const result = relayBlock(block);
       if (result === undefined) {
-        reporter.reportFailure('malformed');
         return true;
       }
       canAcceptMore &&= result;
     }
     if (splitter.countIncompleteBytes() > MAX_EVENT_BYTES) {
-      reporter.reportFailure('malformed');
+      reportMalformed('tooLong');
     }
     return canAcceptMore;
   };
--- a/packages/router/src/requests/sendReporter.ts
+++ b/packages/router/src/requests/sendReporter.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
-import type { SendFailure } from '@parsleyhall/routing';
+import type { ResponseFault, SendFailure } from '@parsleyhall/routing';
 
 /** Reports the response to one send to the scheduler. */
 export interface SendReporter {
@@ -7,5 +7,6 @@
   readonly reportHead: (status: number, headers: IncomingHttpHeaders) => boolean;
   readonly reportProgress: () => void;
   readonly reportEnd: (events: number) => void;
-  readonly reportFailure: (failure: SendFailure) => void;
+  /** `fault` tells what was wrong with a malformed response. */
+  readonly reportFailure: (failure: SendFailure, fault?: ResponseFault) => void;
 }
--- a/packages/router/src/targets/createTargetClient.ts
+++ b/packages/router/src/targets/createTargetClient.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import type { ResponseSink } from './responseSink.js';
 import type { Exchange } from './exchange.js';
+import { hasFramingHeaders } from './hasFramingHeaders.js';
 import { createTargetConnection } from './createTargetConnection.js';
 import type { TargetRequest } from './targetRequest.js';
 import type { TargetClient } from './targetClient.js';
@@ -10,9 +11,6 @@
 const toError = (error: unknown): Error =>
   error instanceof Error ? error : new Error(String(error));
 
-const hasFramingHeaders = (headers: IncomingHttpHeaders): boolean =>
-  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-
 const hasConnectionClose = (headers: IncomingHttpHeaders): boolean =>
   headers.connection?.toLowerCase().includes('close') ?? false;
 
--- a/packages/routing/src/observations/observations.ts
+++ b/packages/routing/src/observations/observations.ts
@@ -33,7 +33,7 @@
   sendFailed: {
     text: 'a send ended without a complete response',
     fields: ['requestId', 'sendId', 'target', 'failure', 'afterMs', 'hasBegun'],
-    optional: ['attemptId', 'promptParts'],
+    optional: ['attemptId', 'promptParts', 'responseFault', 'eventId', 'lastEventId', 'mediaType'],
   },
   requestQueuedAgain: {
     text: 'a request was queued again after a send',
@@ -43,7 +43,7 @@
   requestAnswered: {
     text: "a target's response was forwarded in full",
     fields: [...REQUEST_FIELDS, 'targetStatus', 'events', 'waitedMs', 'firstMs', 'longestGapMs'],
-    optional: OPTIONAL_REQUEST_FIELDS,
+    optional: [...OPTIONAL_REQUEST_FIELDS, 'lastEventId', 'mediaType', 'isFramed'],
   },
   requestRefused: {
     text: 'the entry refused a request with its own response',
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -16,6 +16,10 @@
     type: 'number',
     text: 'separate crashes of targets that requests with these prompt parts explain',
   },
+  eventId: {
+    type: 'string',
+    text: 'id of the event at which a fault was noticed, shortened; none if it states no id',
+  },
   events: { type: 'number', text: 'events of the response; 0 for a non-streaming one' },
   failure: { type: 'string', text: 'how a send ended without a complete response' },
   failureShare: {
@@ -29,11 +33,19 @@
     type: 'boolean',
     text: 'its team has used up its quota; if admitted within the tolerance, it is queued behind the rest of its tier',
   },
+  isFramed: {
+    type: 'boolean',
+    text: 'the response has a length or chunks; otherwise it ends with its connection',
+  },
   isLeaving: { type: 'boolean', text: 'the target is draining and accepts no new work' },
   jumpMs: {
     type: 'number',
     text: 'milliseconds by which the wall clock and the monotonic clock drifted apart',
   },
+  lastEventId: {
+    type: 'string',
+    text: 'id of the last event that the caller had received, shortened; another target goes on behind it',
+  },
   leftMs: { type: 'number', text: 'milliseconds until the deadline' },
   limitPerSecond: {
     type: 'number',
@@ -43,6 +55,7 @@
     type: 'number',
     text: 'longest pause in the response after its first bytes, in milliseconds; may be up to 100 too long',
   },
+  mediaType: { type: 'string', text: "the response's Content-Type, shortened" },
   mayHaveRun: { type: 'boolean', text: 'a target may have run the request' },
   peer: { type: 'string', text: 'host of the other entry' },
   perSecond: { type: 'number', text: "the rate of the team's quota per second, in its unit" },
@@ -59,6 +72,10 @@
     type: 'number',
     text: 'number of the request, unique within one start of the entry',
   },
+  responseFault: {
+    type: 'string',
+    text: 'what was wrong with a malformed response: notAnEvent, outOfOrder or tooLong',
+  },
   restMs: {
     type: 'number',
     text: 'milliseconds for which the target gets no new work, or the quarantine is held',
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -72,7 +72,7 @@
       const request = findRequestBySend(state, event.requestId, event.sendId);
       return request === undefined
         ? createStepResult(state)
-        : handleResponseEnd(state, request, event.events, context);
+        : handleResponseEnd(state, request, event, context);
     }
     case 'sendFailed': {
       const request = findRequestBySend(state, event.requestId, event.sendId);
@@ -83,6 +83,7 @@
             request,
             event.failure,
             context,
+            event.fault,
           );
     }
     case 'configurationRead':
--- a/packages/routing/src/requests/send.ts
+++ b/packages/routing/src/requests/send.ts
@@ -9,6 +9,10 @@
   readonly lastByteAtMs: number;
   /** HTTP status of the target's response, once its head has arrived. */
   readonly status?: number;
+  /** The media type of the response's body; undefined if the target states none. */
+  readonly mediaType?: string;
+  /** Whether the response has a length or chunks; undefined before its head has arrived. */
+  readonly isFramed?: boolean;
   /** The longest pause after the first bytes, in milliseconds; undefined until there was one. */
   readonly longestGapMs?: number;
   /** Whether an earlier send of the request may have run. */
--- a/packages/routing/src/responseHead.ts
+++ b/packages/routing/src/responseHead.ts
@@ -11,6 +11,10 @@
   readonly isLeaving: boolean;
   /** The requests per second that the target takes from all entries together; undefined if it names no limit. */
   readonly limitPerSecond?: number;
+  /** The media type of the body, shortened, for logs; undefined if the target states none. */
+  readonly mediaType?: string;
+  /** Whether the body has a length or chunks, for logs; otherwise it ends with its connection. */
+  readonly isFramed?: boolean;
   /** How long the target refuses further requests of this entry, in milliseconds; undefined if it does not. */
   readonly refusesForMs?: number;
 }
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -1,3 +1,4 @@
+import type { ResponseFault } from './responseFault.js';
 import type { ResponseHead } from './responseHead.js';
 import type { Confirmation } from './configuration/confirmation.js';
 import type { RoutingConfiguration } from './configuration/routingConfiguration.js';
@@ -26,12 +27,15 @@
       readonly requestId: number;
       readonly sendId: number;
       readonly events: number;
+      /** The id of the last event that the caller received; undefined if there was none. */
+      readonly lastEventId?: string;
     }
   | {
       readonly type: 'sendFailed';
       readonly requestId: number;
       readonly sendId: number;
       readonly failure: SendFailure;
+      readonly fault?: ResponseFault;
     }
   | { readonly type: 'configurationRead'; readonly configuration: RoutingConfiguration }
   | ({ readonly type: 'configurationConfirmed' } & Confirmation)
--- a/packages/routing/src/steps/handleResponseEnd.ts
+++ b/packages/routing/src/steps/handleResponseEnd.ts
@@ -1,3 +1,5 @@
+import { toOptionalField } from '@parsleyhall/common';
+import type { RoutingEvent } from '../routingEvent.js';
 import { hasProvenItself } from '../quarantine/hasProvenItself.js';
 import { recordAnswer } from '../quarantine/recordAnswer.js';
 import { recordSignOfLife } from '../quarantine/recordSignOfLife.js';
@@ -18,11 +20,13 @@
 import type { StepResult } from './stepResult.js';
 import type { StepContext } from './stepContext.js';
 
+type ResponseEnd = Extract<RoutingEvent, { type: 'responseEnded' }>;
+
 /** Completes a request whose response was forwarded in full, and updates the latency estimates. */
 export const handleResponseEnd = (
   state: RoutingState,
   request: TrackedRequest,
-  events: number,
+  { events, lastEventId }: Pick<ResponseEnd, 'events' | 'lastEventId'>,
   context: StepContext,
 ): StepResult => {
   const { send, service } = request;
@@ -48,6 +52,9 @@
         ...describeRequest(request, nowMs),
         targetStatus: send.status ?? 0,
         events,
+        ...toOptionalField('lastEventId', lastEventId),
+        ...toOptionalField('mediaType', send.mediaType),
+        ...toOptionalField('isFramed', send.isFramed),
         waitedMs: Math.round(send.sentAtMs - request.arrivedAtMs),
         longestGapMs: Math.round(send.longestGapMs ?? 0),
         firstMs: Math.round((send.firstByteAtMs ?? nowMs) - request.arrivedAtMs),
--- a/packages/routing/src/steps/handleResponseHead.ts
+++ b/packages/routing/src/steps/handleResponseHead.ts
@@ -1,3 +1,4 @@
+import { toOptionalField } from '@parsleyhall/common';
 import type { ResponseHead } from '../responseHead.js';
 import { recordTargetLimit } from '../limits/recordTargetLimit.js';
 import { putRequest } from '../requests/putRequest.js';
@@ -51,7 +52,13 @@
   }
   const answered: TrackedRequest = {
     ...request,
-    send: { ...send, lastByteAtMs: context.nowMs, status: head.status },
+    send: {
+      ...send,
+      lastByteAtMs: context.nowMs,
+      status: head.status,
+      ...toOptionalField('mediaType', head.mediaType),
+      ...toOptionalField('isFramed', head.isFramed),
+    },
   };
   return createStepResult(putRequest(state, answered));
 };
--- a/packages/routing/src/steps/handleSendFailure.ts
+++ b/packages/routing/src/steps/handleSendFailure.ts
@@ -1,3 +1,5 @@
+import { toOptionalField } from '@parsleyhall/common';
+import type { ResponseFault } from '../responseFault.js';
 import { describePromptParts } from '../requests/describePromptParts.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
@@ -15,6 +17,7 @@
   request: TrackedRequest,
   failure: SendFailure,
   context: StepContext,
+  fault?: ResponseFault,
 ): StepResult => {
   const { send, requestId } = request;
   if (send === undefined) {
@@ -28,6 +31,8 @@
     failure,
     afterMs: Math.round(context.nowMs - send.sentAtMs),
     hasBegun: send.firstByteAtMs !== undefined,
+    ...toOptionalField('mediaType', send.mediaType),
+    ...fault,
     ...describePromptParts(request),
   };
   const cancelled = chainStep(startCooldown(state, send.targetId, context.nowMs), (current) =>
