Streams: the route says that a response has events, not the letters of its header

Callers on streaming routes got whatever a target sent, inside a complete 200, if its Content-Type was missing, another one, or not spelled 'text/event-stream' letter by letter: the sink asked the header whether to look into the body.

Where events are numbered, each successful response on a streaming route is now read as events, whatever its headers say; sound events are still delivered with any media type. Where they need no numbers, the media type decides, without regard to case and parameters.

--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -12,6 +12,7 @@
 import type { RequestTable } from './requestTable.js';
 import { createStreamingSink } from './createStreamingSink.js';
 import { createBufferedSink } from './createBufferedSink.js';
+import { getMediaType } from './getMediaType.js';
 import { shortenForLog } from './shortenForLog.js';
 import { selectForwardedHeaders } from './selectForwardedHeaders.js';
 import type { SendReporter } from './sendReporter.js';
@@ -81,7 +82,7 @@
           status,
           isMismatched,
           isFramed: hasFramingHeaders(headers),
-          ...toOptionalField('mediaType', shortenForLog(headers['content-type'])),
+          ...toOptionalField('mediaType', shortenForLog(getMediaType(headers))),
         };
         dispatch({ type: 'responseHeadReceived', requestId, sendId, head });
         return openRequest.sendId === sendId;
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -6,6 +6,7 @@
 import { createEventSplitter } from './createEventSplitter.js';
 import type { EventFormat } from './eventFormat.js';
 import { shortenForLog } from './shortenForLog.js';
+import { isEventStream } from './isEventStream.js';
 import type { SplitBlock } from './splitBlock.js';
 import type { SendReporter } from './sendReporter.js';
 
@@ -23,7 +24,7 @@
   const splitter = createEventSplitter(eventFormat.extraFields);
   const placeEvent = createEventOrder(eventFormat.isNumbered, relay.getLastEventId);
   let isRelayed = false;
-  let isEventStream = true;
+  let hasEvents = true;
   let lastReportAtMs = -Infinity;
 
   const reportProgress = (): void => {
@@ -86,7 +87,7 @@
   return {
     handleHead: (status, headers, rawHeaders) => {
       isRelayed = reporter.reportHead(status, headers);
-      isEventStream = headers['content-type']?.includes('text/event-stream') ?? false;
+      hasEvents = isEventStream(status, headers, eventFormat);
       if (isRelayed) {
         relay.setHead(status, rawHeaders);
       }
@@ -95,7 +96,7 @@
       if (!isRelayed) {
         return true;
       }
-      if (isEventStream) {
+      if (hasEvents) {
         return relayEvents(bytes);
       }
       const canAcceptMore = relay.write(bytes);
