Streams: a response begins with the first number, or behind what the caller has

A first event with a made-up number was relayed whatever its number, and the second target went on behind it: with 'id: 9' before ten sound events callers got 9 and 10 as a complete 200; 'id: 0' and 'id: 2' did alike. Cause: nothing said with which number a stream begins.

A response begins with it, or at most behind the last event that the caller has; else the send fails before anything of it is relayed. The position of an event now says what is wrong with it, and so does the log.

--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -12,7 +12,10 @@
 
 const FAULT_DESCRIPTIONS: Readonly<Record<string, string>> = {
   notAnEvent: 'bytes that are no event',
-  outOfOrder: 'an event out of order',
+  noNumber: 'an event without a number',
+  wrongStart: 'a first event with a number with which it can not begin',
+  numberSkipped: 'an event whose number leaves others out',
+  numberTaken: 'an event with the number of one before',
   tooLong: 'an event that never ended',
 };
 
--- a/packages/router/src/requests/createEventOrder.ts
+++ b/packages/router/src/requests/createEventOrder.ts
@@ -1,36 +1,47 @@
-/** How an event continues what the caller has received. */
-type EventPosition = 'next' | 'repeated' | 'outOfOrder';
+import type { EventFormat } from './eventFormat.js';
+import { parseEventNumber } from './parseEventNumber.js';
 
-const WHOLE_NUMBER = /^(?:0|[1-9]\d{0,14})$/;
-
-const parseNumber = (id: string | undefined): number | undefined =>
-  id !== undefined && WHOLE_NUMBER.test(id) ? Number(id) : undefined;
+/** How an event continues what the caller has received, or why it can't. */
+type EventPosition =
+  'next' | 'repeated' | 'noNumber' | 'wrongStart' | 'numberSkipped' | 'numberTaken';
 
 /**
- * Creates a function that places the events of one target's response, given their ids in turn. `isNumbered` tells that each
- * event has to have a number; otherwise each one after the first that has. `getLastRelayedId` returns the id of the last
- * event that the caller has received, from this target or from one before it.
+ * Creates a function that places the events of one target's response, given their ids in turn. `getLastRelayedId` returns the
+ * id of the last event that the caller has received; it is asked at the first event. Where events need no numbers, each one
+ * after the first that has a number needs one.
  */
 export const createEventOrder = (
-  isNumbered: boolean,
+  { isNumbered, firstNumber }: Pick<EventFormat, 'isNumbered' | 'firstNumber'>,
   getLastRelayedId: () => string | undefined,
 ): ((id: string | undefined) => EventPosition) => {
   let lastNumber: number | undefined;
+  let lastRelayed: number | undefined;
 
-  return (id) => {
-    const number = parseNumber(id);
-    if (number === undefined) {
-      return isNumbered || lastNumber !== undefined ? 'outOfOrder' : 'next';
+  const isStart = (number: number): boolean => {
+    const lastRelayedId = getLastRelayedId();
+    lastRelayed = parseEventNumber(lastRelayedId);
+    // Without numbers, or behind an id that is none, nothing tells where the response begins.
+    const isStartKnown = isNumbered && (lastRelayedId === undefined || lastRelayed !== undefined);
+    const highestStart = lastRelayed === undefined ? firstNumber : lastRelayed + 1;
+    return !isStartKnown || (number >= firstNumber && number <= highestStart);
+  };
+
+  const place = (number: number): EventPosition => {
+    if (lastNumber === undefined && !isStart(number)) {
+      return 'wrongStart';
     }
-    const isConsecutive = lastNumber === undefined || number === lastNumber + 1;
-    const lastRelayed = parseNumber(getLastRelayedId());
-    lastNumber = number;
-    if (!isConsecutive) {
-      return 'outOfOrder';
+    if (lastNumber !== undefined && number !== lastNumber + 1) {
+      return number > lastNumber ? 'numberSkipped' : 'numberTaken';
     }
-    if (lastRelayed === undefined || number === lastRelayed + 1) {
-      return 'next';
+    lastNumber = number;
+    return lastRelayed !== undefined && number <= lastRelayed ? 'repeated' : 'next';
+  };
+
+  return (id) => {
+    const number = parseEventNumber(id);
+    if (number === undefined) {
+      return isNumbered || lastNumber !== undefined ? 'noNumber' : 'next';
     }
-    return number <= lastRelayed ? 'repeated' : 'outOfOrder';
+    return place(number);
   };
 };
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -22,7 +22,7 @@
   getNowMs: () => number,
 ): ResponseSink => {
   const splitter = createEventSplitter(eventFormat.extraFields);
-  const placeEvent = createEventOrder(eventFormat.isNumbered, relay.getLastEventId);
+  const placeEvent = createEventOrder(eventFormat, relay.getLastEventId);
   let isRelayed = false;
   let hasEvents = true;
   let lastReportAtMs = -Infinity;
@@ -56,13 +56,13 @@
       return undefined;
     }
     const position = placeEvent(block.id);
-    if (position === 'outOfOrder') {
-      reportMalformed('outOfOrder', block.id);
-      return undefined;
-    }
     if (position === 'repeated') {
       return true;
     }
+    if (position !== 'next') {
+      reportMalformed(position, block.id);
+      return undefined;
+    }
     const canAcceptMore = relay.write(block.bytes, block.id);
     // A target that only keeps the connection open makes no progress.
     reportProgress();
--- a/packages/routing/src/responseFault.ts
+++ b/packages/routing/src/responseFault.ts
@@ -1,6 +1,14 @@
 /** What was wrong with a response whose send failed as malformed; for logs alone. */
 export interface ResponseFault {
-  readonly responseFault: 'notAnEvent' | 'outOfOrder' | 'tooLong';
+  readonly responseFault:
+    | 'notAnEvent'
+    | 'noNumber'
+    /** The first event has a number with which the response can't begin. */
+    | 'wrongStart'
+    | 'numberSkipped'
+    /** An event has the number of one before it, or a lower one. */
+    | 'numberTaken'
+    | 'tooLong';
   /** The id of the event at which the fault was noticed, shortened; undefined if it states none. */
   readonly eventId?: string;
   /** The id of the last event that the caller had received by then; undefined if it had received none. */
