Streams: a numbered event has data, and a lone carriage return is no line end

Callers got an 'event' without data in the place of a sound one ('id: 6' and a blank line took the number of event 6), and parsers that end lines at a lone carriage return could see an event where the entry saw a line of data. The standard dispatches no event without data; the platform's events all have it.

--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -13,6 +13,7 @@
 const FAULT_DESCRIPTIONS: Readonly<Record<string, string>> = {
   notAnEvent: 'bytes that are no event',
   noNumber: 'an event without a number',
+  noData: 'an event without data',
   wrongStart: 'a first event with a number with which it can not begin',
   numberSkipped: 'an event whose number leaves others out',
   numberTaken: 'an event with the number of one before',
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -55,6 +55,10 @@
       reportMalformed('notAnEvent');
       return undefined;
     }
+    if (eventFormat.isNumbered && !block.hasData) {
+      reportMalformed('noData', block.id);
+      return undefined;
+    }
     const position = placeEvent(block.id);
     if (position === 'repeated') {
       return true;
--- a/packages/router/src/requests/parseBlock.ts
+++ b/packages/router/src/requests/parseBlock.ts
@@ -3,6 +3,8 @@
 
 const STANDARD_FIELDS: ReadonlySet<string> = new Set(['data', 'event', 'id', 'retry']);
 const COMMENT = '';
+/** Ends a line for some parsers and not for others, so that they see different events. */
+const LONE_CARRIAGE_RETURN = /\r(?!\n)/;
 
 interface Field {
   /** Empty for a comment. */
@@ -19,8 +21,11 @@
 
 /** Parses a block of an event stream by its lines; one that is no comment and no field of an event spoils the block. */
 export const parseBlock = (bytes: Buffer, extraFields: ReadonlySet<string>): SplitBlock => {
-  const fields = bytes
-    .toString('latin1')
+  const text = bytes.toString('latin1');
+  if (LONE_CARRIAGE_RETURN.test(text)) {
+    return { kind: 'malformed', bytes };
+  }
+  const fields = text
     .split(/\r?\n/)
     .filter((line) => line !== '')
     .map(parseLine)
@@ -30,7 +35,9 @@
     return { kind: 'comment', bytes };
   }
   const areKnown = fields.every(({ name }) => STANDARD_FIELDS.has(name) || extraFields.has(name));
-  return areKnown && ids.length <= 1
-    ? { kind: 'event', bytes, ...toOptionalField('id', ids[0]?.value) }
-    : { kind: 'malformed', bytes };
+  if (!areKnown || ids.length > 1) {
+    return { kind: 'malformed', bytes };
+  }
+  const hasData = fields.some(({ name }) => name === 'data');
+  return { kind: 'event', bytes, hasData, ...toOptionalField('id', ids[0]?.value) };
 };
--- a/packages/routing/src/responseFault.ts
+++ b/packages/routing/src/responseFault.ts
@@ -3,6 +3,7 @@
   readonly responseFault:
     | 'notAnEvent'
     | 'noNumber'
+    | 'noData'
     /** The first event has a number with which the response can't begin. */
     | 'wrongStart'
     | 'numberSkipped'
