Streams: nothing continues a response two of whose events claim one number

Callers of resumable streams got a made-up event in a complete 200: the sound event with the same number showed that one of the two was not made by the run, but the made-up one had been relayed, and the second target was asked to go on behind it.

All events from the number that is claimed twice are in doubt. Those at hand are not relayed, and another target goes on before them. If one of them has been relayed, the response is committed: canRunAgain is false from then on, for failures, silence and errors alike, and the caller sees a break.

Two cases of eventOrder.test.ts expected the resumption behind a number used twice; two stricter ones take their place: broken off, and sent to no other target.

--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -90,6 +90,9 @@
       reportProgress: () => {
         dispatch({ type: 'responseProgressed', requestId, sendId });
       },
+      reportCommitted: () => {
+        dispatch({ type: 'responseCommitted', requestId, sendId });
+      },
       reportEnd: (events) => {
         hasEnded = true;
         remove(openRequest);
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -1,18 +1,14 @@
 import { toOptionalField } from '@parsleyhall/common';
-import type { ResponseFault } from '@parsleyhall/routing';
 import type { Relay } from '../callers/relay.js';
 import type { ResponseSink } from '../targets/responseSink.js';
-import { createEventOrder } from './createEventOrder.js';
-import { createEventSplitter } from './createEventSplitter.js';
+import { createStreamReader } from './createStreamReader.js';
 import type { EventFormat } from './eventFormat.js';
-import { shortenForLog } from './shortenForLog.js';
 import { isEventStream } from './isEventStream.js';
-import type { SplitBlock } from './splitBlock.js';
 import type { SendReporter } from './sendReporter.js';
+import { shortenForLog } from './shortenForLog.js';
+import type { StreamFault } from './streamFault.js';
 
 const PROGRESS_REPORT_PERIOD_MS = 100;
-/** A stream with a longer event is treated as malformed. */
-const MAX_EVENT_BYTES = 1_048_576;
 
 /** Creates a sink that relays a stream event by event, so that another target can continue it after any event. */
 export const createStreamingSink = (
@@ -21,10 +17,10 @@
   eventFormat: EventFormat,
   getNowMs: () => number,
 ): ResponseSink => {
-  const splitter = createEventSplitter(eventFormat.extraFields);
-  const placeEvent = createEventOrder(eventFormat, relay.getLastEventId);
+  const reader = createStreamReader(eventFormat, relay.getLastEventId);
   let isRelayed = false;
   let hasEvents = true;
+  let hasFailed = false;
   let lastReportAtMs = -Infinity;
 
   const reportProgress = (): void => {
@@ -35,10 +31,11 @@
     }
   };
 
-  const reportMalformed = (
-    responseFault: ResponseFault['responseFault'],
-    eventId?: string,
-  ): void => {
+  const fail = ({ responseFault, eventId, areEarlierInDoubt }: StreamFault): void => {
+    hasFailed = true;
+    if (areEarlierInDoubt) {
+      reporter.reportCommitted();
+    }
     reporter.reportFailure('malformed', {
       responseFault,
       ...toOptionalField('eventId', shortenForLog(eventId)),
@@ -46,44 +43,20 @@
     });
   };
 
-  /** Returns whether more can be sent now; undefined if the target did not make the block as part of the stream. */
-  const relayBlock = (block: SplitBlock): boolean | undefined => {
-    if (block.kind === 'comment') {
-      return relay.write(block.bytes);
-    }
-    if (block.kind === 'malformed') {
-      reportMalformed('notAnEvent');
-      return undefined;
-    }
-    if (eventFormat.isNumbered && !block.hasData) {
-      reportMalformed('noData', block.id);
-      return undefined;
-    }
-    const position = placeEvent(block.id);
-    if (position === 'repeated') {
-      return true;
-    }
-    if (position !== 'next') {
-      reportMalformed(position, block.id);
-      return undefined;
-    }
-    const canAcceptMore = relay.write(block.bytes, block.id);
-    // A target that only keeps the connection open makes no progress.
-    reportProgress();
-    return canAcceptMore;
-  };
-
   const relayEvents = (bytes: Buffer): boolean => {
+    const { blocks, fault } = reader.read(bytes);
     let canAcceptMore = true;
-    for (const block of splitter.push(bytes)) {
-      const result = relayBlock(block);
-      if (result === undefined) {
-        return true;
+    for (const block of blocks) {
+      const isEvent = block.kind === 'event';
+      canAcceptMore = relay.write(block.bytes, isEvent ? block.id : undefined) && canAcceptMore;
+      // A target that only keeps the connection open makes no progress.
+      if (isEvent) {
+        reportProgress();
       }
-      canAcceptMore &&= result;
     }
-    if (splitter.countIncompleteBytes() > MAX_EVENT_BYTES) {
-      reportMalformed('tooLong');
+    if (fault !== undefined) {
+      fail(fault);
+      return true;
     }
     return canAcceptMore;
   };
@@ -97,7 +70,7 @@
       }
     },
     handleBytes: (bytes) => {
-      if (!isRelayed) {
+      if (!isRelayed || hasFailed) {
         return true;
       }
       if (hasEvents) {
@@ -108,10 +81,10 @@
       return canAcceptMore;
     },
     handleEnd: () => {
-      if (!isRelayed) {
+      if (!isRelayed || hasFailed) {
         return;
       }
-      if (splitter.countIncompleteBytes() > 0) {
+      if (reader.countIncompleteBytes() > 0) {
         reporter.reportFailure('broken');
         return;
       }
@@ -119,7 +92,9 @@
       reporter.reportEnd(relay.countEvents());
     },
     handleFailure: (failure) => {
-      reporter.reportFailure(failure);
+      if (!hasFailed) {
+        reporter.reportFailure(failure);
+      }
     },
   };
 };
--- a/packages/router/src/requests/sendReporter.ts
+++ b/packages/router/src/requests/sendReporter.ts
@@ -6,6 +6,8 @@
   /** Returns whether the response is to be relayed to the caller. */
   readonly reportHead: (status: number, headers: IncomingHttpHeaders) => boolean;
   readonly reportProgress: () => void;
+  /** Reports that no other target's response can continue what the caller has received of this one. */
+  readonly reportCommitted: () => void;
   readonly reportEnd: (events: number) => void;
   /** `fault` tells what was wrong with a malformed response. */
   readonly reportFailure: (failure: SendFailure, fault?: ResponseFault) => void;
--- a/packages/router/tests/eventOrder.test.ts
+++ b/packages/router/tests/eventOrder.test.ts
@@ -25,15 +25,19 @@
   ['an id that is no number', 'id: 9f\ndata: 3\n\n'],
   ['an id with a leading zero', 'id: 03\ndata: 3\n\n'],
   ['two ids', 'id: 3\nid: 4\ndata: 3\n\n'],
-  ['the id of the event before', toEvent(2)],
-  ['an id that goes back', toEvent(1)],
   ['an id that leaves events out', toEvent(4)],
   ['a response head', 'HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\n'],
 ];
 
+/** Events whose numbers the target has used, so that one of the two was made up. */
+const TAKEN_NUMBERS: readonly (readonly [string, string])[] = [
+  ['the id of the event before', toEvent(2)],
+  ['an id that goes back', toEvent(1)],
+];
+
 describe('a stream in which a target sends something that it did not make', () => {
   // Guards against ORDER in users' runs: a faulty target's bytes reached callers as an event of a complete stream.
-  it.each(GARBAGE)('breaks off before it (%s)', async (_, garbage) => {
+  it.each([...GARBAGE, ...TAKEN_NUMBERS])('breaks off before it (%s)', async (_, garbage) => {
     await using target = await startRawTarget();
     await using router = await startTestRouter([target]);
     const caller = sendRequest(router, '/stream/x');
@@ -60,6 +64,21 @@
   });
 });
 
+describe('a stream that may be resumed, in which a target uses a number twice', () => {
+  // Guards against ORDER: another target went on behind an event that may have been the made-up one of the two.
+  it.each(TAKEN_NUMBERS)('breaks off and is sent to no other target (%s)', async (_, event) => {
+    await using first = await startRawTarget();
+    await using second = await startRawTarget();
+    await using router = await startTestRouter([first, second]);
+    const caller = sendRequest(router, '/resumableStream/x');
+    const { socket } = await Promise.race([first.nextRequest(), second.nextRequest()]);
+    const events = toChunk(toEvent(1)) + toChunk(toEvent(2));
+    socket.write(STREAM_HEAD + events + toChunk(event) + toChunk(toEvent(3)) + LAST_CHUNK);
+    expect((await caller.whenClosed).endsWith(events)).toBe(true);
+    expect(first.countRequests() + second.countRequests()).toBe(1);
+  });
+});
+
 describe('a sound stream', () => {
   it.each([
     ['comments', ': still here\n\n'],
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -5,6 +5,7 @@
 import { handleDigest } from './peers/handleDigest.js';
 import { mergeQuarantines } from './quarantine/mergeQuarantines.js';
 import { recordSendFailure } from './quarantine/recordSendFailure.js';
+import { putRequest } from './requests/putRequest.js';
 import { restoreQuotas } from './quota/restoreQuotas.js';
 import type { RoutingEffect } from './routingEffect.js';
 import type { RoutingEvent } from './routingEvent.js';
@@ -68,6 +69,12 @@
         ? createStepResult(state)
         : handleResponseProgress(state, request, context);
     }
+    case 'responseCommitted': {
+      const request = findRequestBySend(state, event.requestId, event.sendId);
+      return createStepResult(
+        request === undefined ? state : putRequest(state, { ...request, isCommitted: true }),
+      );
+    }
     case 'responseEnded': {
       const request = findRequestBySend(state, event.requestId, event.sendId);
       return request === undefined
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -48,5 +48,6 @@
     sends: 0,
     mayHaveRun: false,
     hasResponseStarted: false,
+    isCommitted: false,
   };
 };
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -41,4 +41,6 @@
   readonly mayHaveRun: boolean;
   /** Whether the head of the response was forwarded to the caller. */
   readonly hasResponseStarted: boolean;
+  /** Whether no other target's response can continue what the caller has received. */
+  readonly isCommitted: boolean;
 }
--- a/packages/routing/src/retries/canRunAgain.ts
+++ b/packages/routing/src/retries/canRunAgain.ts
@@ -4,9 +4,10 @@
 import type { StepContext } from '../steps/stepContext.js';
 import { hasRetriesLeft } from './hasRetriesLeft.js';
 
-/** Whether a request that may already have run may be sent to another target. */
+/** Whether a request that may already have run may be sent to another target, which repeats or continues its response. */
 export const canRunAgain = (
   state: RoutingState,
   request: TrackedRequest,
   context: StepContext,
-): boolean => isRetrySafe(request.route) && hasRetriesLeft(state, request, context);
+): boolean =>
+  !request.isCommitted && isRetrySafe(request.route) && hasRetriesLeft(state, request, context);
