Soak: garbage of many kinds and places, events that look like the next one, and resumable streams

The soak sent one kind of garbage in one place (a line of text after event 2 of a stream, in chunks), and no streams that may be resumed, so that it saw nothing of what callers saw: events that no run made in complete streams, and streams that ended early after a second target had gone on.

A second fault is an event with the next number and data, before the sound one: the sound one follows at once, and the target records what its caller may have received, so that the check allows that at the end of a broken-off answer and nothing else. Such an event behind the last, or before a reset, is not sent, since nothing tells it apart.

--- a/packages/soak/src/callers/runSequentialCaller.ts
+++ b/packages/soak/src/callers/runSequentialCaller.ts
@@ -3,7 +3,7 @@
 import type { RequestKind } from '../history/requestKind.js';
 import type { SoakEntry } from '../system/soakEntry.js';
 
-const KINDS: readonly RequestKind[] = ['stream', 'nonIdempotent'];
+const KINDS: readonly RequestKind[] = ['stream', 'resumableStream', 'nonIdempotent'];
 const PAUSE_MS = 150;
 
 const hasOpenConnection = ({ freeSockets }: Agent): boolean => Object.keys(freeSockets).length > 0;
--- a/packages/soak/src/callers/startCallers.ts
+++ b/packages/soak/src/callers/startCallers.ts
@@ -8,7 +8,12 @@
 import { sendRequest } from './sendRequest.js';
 
 const SEND_INTERVAL_MS = 20;
-const REQUEST_KINDS: readonly RequestKind[] = ['idempotent', 'nonIdempotent', 'stream'];
+const REQUEST_KINDS: readonly RequestKind[] = [
+  'idempotent',
+  'nonIdempotent',
+  'stream',
+  'resumableStream',
+];
 /** Prompts begin with one of so many parts. */
 const FIRST_PARTS = 5;
 const ABORTED_SHARE = 0.3;
--- a/packages/soak/src/history/requestKind.ts
+++ b/packages/soak/src/history/requestKind.ts
@@ -1,2 +1,5 @@
-/** Determines whether a request may be retried (idempotent), not retried (non-idempotent), or resumed (stream). */
-export type RequestKind = 'idempotent' | 'nonIdempotent' | 'stream';
+/**
+ * Determines whether a request may be retried (idempotent), not retried (non-idempotent), or may not (stream) or may
+ * (resumable stream) be resumed at another target.
+ */
+export type RequestKind = 'idempotent' | 'nonIdempotent' | 'stream' | 'resumableStream';
--- a/packages/soak/src/history/targetRun.ts
+++ b/packages/soak/src/history/targetRun.ts
@@ -10,6 +10,11 @@
   readonly limit?: { readonly perSecond: number; readonly sinceMs: number };
   /** Whether the target was set to break this request off or to be slow. */
   readonly isFaulty: boolean;
+  /**
+   * What the caller's response contained when the target had sent an event that nothing tells from the next one before
+   * that follows: the sound events up to there, and that event. Undefined if the target sent no such event.
+   */
+  readonly bodyWithLookAlike?: string;
   /** Whether the proxy in front of the target was not open at that time or shortly before. */
   readonly isPathHarmed: boolean;
 }
--- a/packages/soak/src/plan/createFaultPlan.ts
+++ b/packages/soak/src/plan/createFaultPlan.ts
@@ -12,8 +12,8 @@
 const STATEMENT_FAULTS_SEED_MASK = 0x2c1b3c6d;
 /** The same for faults of targets' responses. */
 const ANSWER_FAULTS_SEED_MASK = 0x6f2d9b17;
-const ANSWER_FAULTS = ['unframed', 'garbage'] as const;
-const MAX_ANSWER_FAULTS = 3;
+const ANSWER_FAULTS = ['unframed', 'garbage', 'garbage', 'lookAlike'] as const;
+const MAX_ANSWER_FAULTS = 4;
 /** Long enough that requests with the part still come when it must have been recognized. */
 const MIN_STATEMENT_DURATION_MS = 6_000;
 const MAX_STATEMENT_DURATION_MS = 9_000;
@@ -79,24 +79,14 @@
     }
   };
 
-  const drawPathFault = (): Fault => ({
-    kind: 'path',
+  const drawPathFault = () => ({
+    kind: 'path' as const,
     atMs: drawPathInteger(0, faultDurationMs),
     forMs: drawPathInteger(MIN_FAULT_DURATION_MS, MAX_FAULT_DURATION_MS),
     target: drawPathInteger(0, targets - 1),
     state: FAULTY_PROXY_STATES[drawPathInteger(0, FAULTY_PROXY_STATES.length - 1)] ?? 'silent',
   });
 
-  const drawAnswerFaults = (): readonly Fault[] => {
-    const draw = createDrawInteger(seed ^ ANSWER_FAULTS_SEED_MASK);
-    return Array.from({ length: draw(0, MAX_ANSWER_FAULTS) }, () => ({
-      kind: ANSWER_FAULTS[draw(0, ANSWER_FAULTS.length - 1)] ?? 'unframed',
-      atMs: draw(0, faultDurationMs),
-      forMs: draw(MIN_FAULT_DURATION_MS, MAX_FAULT_DURATION_MS),
-      target: draw(0, targets - 1),
-    }));
-  };
-
   const drawStatementFaults = (): readonly Fault[] => {
     const draw = createDrawInteger(seed ^ STATEMENT_FAULTS_SEED_MASK);
     const drawTimes = () => ({
@@ -118,10 +108,31 @@
     return [...poisonParts, ...limits];
   };
 
+  const statementFaults = drawStatementFaults();
+  const pathFaults = Array.from({ length: drawPathInteger(0, MAX_PATH_FAULTS) }, drawPathFault);
+
+  /** Whether the connections of a target may be reset between any two of its writes. */
+  const canBeReset = (target: number): boolean =>
+    statementFaults.some(({ kind }) => kind === 'poisonPart') ||
+    pathFaults.some((fault) => fault.target === target);
+
+  const drawAnswerFaults = (): readonly Fault[] => {
+    const draw = createDrawInteger(seed ^ ANSWER_FAULTS_SEED_MASK);
+    return Array.from({ length: draw(0, MAX_ANSWER_FAULTS) }, () => {
+      const kind = ANSWER_FAULTS[draw(0, ANSWER_FAULTS.length - 1)] ?? 'unframed';
+      const atMs = draw(0, faultDurationMs);
+      const forMs = draw(MIN_FAULT_DURATION_MS, MAX_FAULT_DURATION_MS);
+      const target = draw(0, targets - 1);
+      // Nothing tells an event that looks like the next one from that if it is reset before that.
+      const isTold = kind !== 'lookAlike' || !canBeReset(target);
+      return { kind: isTold ? kind : 'garbage', atMs, forMs, target };
+    });
+  };
+
   return [
-    ...drawStatementFaults(),
+    ...statementFaults,
     ...drawAnswerFaults(),
     ...Array.from({ length: drawInteger(MIN_FAULTS, MAX_FAULTS) }, drawFaults).flat(),
-    ...Array.from({ length: drawPathInteger(0, MAX_PATH_FAULTS) }, drawPathFault),
+    ...pathFaults,
   ].sort((left, right) => left.atMs - right.atMs);
 };
--- a/packages/soak/src/plan/injectFault.ts
+++ b/packages/soak/src/plan/injectFault.ts
@@ -37,6 +37,7 @@
       return;
     case 'unframed':
     case 'garbage':
+    case 'lookAlike':
       targets[fault.target]?.setAnswerFault(fault.kind);
       await sleep(fault.forMs);
       targets[fault.target]?.setAnswerFault(undefined);
--- a/packages/soak/src/system/answerFault.ts
+++ b/packages/soak/src/system/answerFault.ts
@@ -1,5 +1,6 @@
 /**
  * What is wrong with part of a target's responses: they have neither a length nor chunks and some of them are reset before
- * their end, or something that the target did not make stands between two events of a stream.
+ * their end; bytes that are no part of a stream stand somewhere in it; or an event that looks like the next one stands
+ * before that.
  */
-export type AnswerFault = 'unframed' | 'garbage';
+export type AnswerFault = 'unframed' | 'garbage' | 'lookAlike';
--- a/packages/soak/src/system/createRoutingDocument.ts
+++ b/packages/soak/src/system/createRoutingDocument.ts
@@ -4,6 +4,7 @@
   { name: 'idempotent', kind: 'idempotent' },
   { name: 'nonIdempotent', kind: 'nonIdempotent' },
   { name: 'stream', kind: 'stream' },
+  { name: 'resumableStream', kind: 'resumableStream' },
 ];
 const SLOTS_PER_TARGET = 12;
 
