--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -6,6 +6,7 @@
 import { createEventSplitter } from './createEventSplitter.js';
 import type { EventFormat } from './eventFormat.js';
 import { shortenForLog } from './shortenForLog.js';
+import { isEventStream } from './isEventStream.js';
 import type { SplitBlock } from './splitBlock.js';
 import type { SendReporter } from './sendReporter.js';
 
@@ -21,9 +22,9 @@
   getNowMs: () => number,
 ): ResponseSink => {
   const splitter = createEventSplitter(eventFormat.extraFields);
-  const placeEvent = createEventOrder(eventFormat.isNumbered, relay.getLastEventId);
+  const placeEvent = createEventOrder(eventFormat, relay.getLastEventId);
   let isRelayed = false;
-  let isEventStream = true;
+  let hasEvents = true;
   let lastReportAtMs = -Infinity;
 
   const reportProgress = (): void => {
@@ -54,14 +55,18 @@
       reportMalformed('notAnEvent');
       return undefined;
     }
-    const position = placeEvent(block.id);
-    if (position === 'outOfOrder') {
-      reportMalformed('outOfOrder', block.id);
+    if (eventFormat.isNumbered && !block.hasData) {
+      reportMalformed('noData', block.id);
       return undefined;
     }
+    const position = placeEvent(block.id);
     if (position === 'repeated') {
       return true;
     }
+    if (position !== 'next') {
+      reportMalformed(position, block.id);
+      return undefined;
+    }
     const canAcceptMore = relay.write(block.bytes, block.id);
     // A target that only keeps the connection open makes no progress.
     reportProgress();
@@ -86,7 +91,7 @@
   return {
     handleHead: (status, headers, rawHeaders) => {
       isRelayed = reporter.reportHead(status, headers);
-      isEventStream = headers['content-type']?.includes('text/event-stream') ?? false;
+      hasEvents = isEventStream(status, headers, eventFormat);
       if (isRelayed) {
         relay.setHead(status, rawHeaders);
       }
@@ -95,7 +100,7 @@
       if (!isRelayed) {
         return true;
       }
-      if (isEventStream) {
+      if (hasEvents) {
         return relayEvents(bytes);
       }
       const canAcceptMore = relay.write(bytes);
