Responses: once the caller has a part that nothing can continue, no other target follows

Cause: a body beyond the buffer leaves as it arrives, and a failure behind that still led to another send.

Both sinks report such a response as committed, as streams in doubt are.

--- a/packages/router/src/requests/createBufferedSink.ts
+++ b/packages/router/src/requests/createBufferedSink.ts
@@ -38,6 +38,7 @@
         return true;
       }
       const canAcceptMore = flush();
+      reporter.reportCommitted();
       reporter.reportProgress();
       return canAcceptMore;
     },
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -77,6 +77,7 @@
         return relayEvents(bytes);
       }
       const canAcceptMore = relay.write(bytes);
+      reporter.reportCommitted();
       reportProgress();
       return canAcceptMore;
     },
