Streams: one that ends without an event is no complete one

A target's 200 without any event of a run went to the caller as a complete stream. It is the end that comes too early at its extreme: no run of a numbered stream has no event. The send now fails, so that another target may answer; a caller that named the last event it has still gets an empty rest.

--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -17,6 +17,7 @@
   wrongStart: 'a first event with a number with which it can not begin',
   numberSkipped: 'an event whose number leaves others out',
   numberTaken: 'an event with the number of one before',
+  noEvents: 'a stream without events',
   tooLong: 'an event that never ended',
 };
 
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -43,6 +43,10 @@
     });
   };
 
+  /** Whether a stream that has to have events ended without any, and not behind an event that the caller already had. */
+  const lacksEvents = (): boolean =>
+    hasEvents && eventFormat.isNumbered && relay.getLastEventId() === undefined;
+
   const relayEvents = (bytes: Buffer): boolean => {
     const { blocks, fault } = reader.read(bytes);
     let canAcceptMore = true;
@@ -89,6 +93,10 @@
         reporter.reportFailure('broken');
         return;
       }
+      if (lacksEvents()) {
+        fail({ responseFault: 'noEvents', areEarlierInDoubt: false });
+        return;
+      }
       relay.end();
       reporter.reportEnd(relay.countEvents());
     },
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -74,7 +74,7 @@
   },
   responseFault: {
     type: 'string',
-    text: 'what was wrong with a malformed response: notAnEvent, noNumber, noData, wrongStart, numberSkipped, numberTaken or tooLong',
+    text: 'what was wrong with a malformed response: notAnEvent, noNumber, noData, wrongStart, numberSkipped, numberTaken, noEvents or tooLong',
   },
   restMs: {
     type: 'number',
--- a/packages/routing/src/responseFault.ts
+++ b/packages/routing/src/responseFault.ts
@@ -9,6 +9,8 @@
     | 'numberSkipped'
     /** An event has the number of one before it, or a lower one. */
     | 'numberTaken'
+    /** A stream ended without an event. */
+    | 'noEvents'
     | 'tooLong';
   /** The id of the event at which the fault was noticed, shortened; undefined if it states none. */
   readonly eventId?: string;
