Streams: a response has started once its head has left, with a comment too

Callers of a stream that began with a comment and then hung got no end at the route's time limit (CONFIG), and those of a resumable one got the body of the next target's error under the first one's head. Cause: comments are no progress, and only progress told the scheduler that the head had left; the answer that it asked for could not be written.

The sink tells when the head leaves with a comment, and a refusal of a request whose head has left breaks it off.

--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -87,6 +87,9 @@
         dispatch({ type: 'responseHeadReceived', requestId, sendId, head });
         return openRequest.sendId === sendId;
       },
+      reportStarted: () => {
+        dispatch({ type: 'responseStarted', requestId, sendId });
+      },
       reportProgress: () => {
         dispatch({ type: 'responseProgressed', requestId, sendId });
       },
@@ -214,8 +217,13 @@
       }
     },
     refuse: (requestId, refusal) => {
-      const response = close(requestId)?.caller.response;
-      if (response === undefined) {
+      const openRequest = close(requestId);
+      if (openRequest === undefined) {
+        return;
+      }
+      const { response } = openRequest.caller;
+      if (response.headersSent) {
+        openRequest.relay.breakOff();
         return;
       }
       response.shouldKeepAlive &&= !isShuttingDown();
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -50,6 +50,9 @@
   const relayEvents = (bytes: Buffer): boolean => {
     const { blocks, fault } = reader.read(bytes);
     let canAcceptMore = true;
+    if (blocks[0]?.kind === 'comment' && !relay.hasSentHead()) {
+      reporter.reportStarted();
+    }
     for (const block of blocks) {
       const isEvent = block.kind === 'event';
       canAcceptMore = relay.write(block.bytes, isEvent ? block.id : undefined) && canAcceptMore;
--- a/packages/router/src/requests/requestTable.ts
+++ b/packages/router/src/requests/requestTable.ts
@@ -15,7 +15,7 @@
   }) => void;
   readonly startSend: (send: Extract<RoutingEffect, { type: 'send' }>) => void;
   readonly cancelSend: (requestId: number, sendId: number) => void;
-  /** Responds to the caller with a refusal. */
+  /** Responds to the caller with a refusal, or breaks off a response that has begun. */
   readonly refuse: (requestId: number, refusal: Refusal) => void;
   /** Destroys the caller's connection, so that a response that has begun does not look complete. */
   readonly abort: (requestId: number) => void;
--- a/packages/router/tests/streamProgress.test.ts
+++ b/packages/router/tests/streamProgress.test.ts
@@ -29,6 +29,7 @@
       reportProgress: () => {
         progressReports += 1;
       },
+      reportStarted: () => undefined,
       reportCommitted: () => undefined,
       reportEnd: () => undefined,
       reportFailure: (failure) => failures.push(failure),
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -69,6 +69,12 @@
         ? createStepResult(state)
         : handleResponseProgress(state, request, context);
     }
+    case 'responseStarted': {
+      const request = findRequestBySend(state, event.requestId, event.sendId);
+      return createStepResult(
+        request === undefined ? state : putRequest(state, { ...request, hasResponseStarted: true }),
+      );
+    }
     case 'responseCommitted': {
       const request = findRequestBySend(state, event.requestId, event.sendId);
       return createStepResult(
--- a/packages/routing/src/routingEvent.ts
+++ b/packages/routing/src/routingEvent.ts
@@ -22,6 +22,8 @@
     }
   /** A part of the response arrived; dispatched for the first part, then at most about every hundred milliseconds. */
   | { readonly type: 'responseProgressed'; readonly requestId: number; readonly sendId: number }
+  /** The head of the response was sent to the caller, before any part that counts as progress. */
+  | { readonly type: 'responseStarted'; readonly requestId: number; readonly sendId: number }
   /** No other target's response can continue what the caller has received of this one. */
   | { readonly type: 'responseCommitted'; readonly requestId: number; readonly sendId: number }
   | {
