Responses: what a head says counts only for the request that it names

A request that is not idempotent ran at two targets: a target sent a late second response to the request before, 503 with X-Not-Executed and that request's id, and it was taken as the response to the request that waited on the same connection. With no second target left its caller would have been told 503, "not run", of a request that ran.

Cause: handleResponseHead looked at "not run" before it looked at whose response it is.

Now the id and whether the connection carried another request before decide (isBelieved): the request's own id counts; no id counts on a new connection only, and never for a response that would be relayed; another id never counts. All else may have run: 502, or another target where the route allows it, and the connection is closed. It holds for leaving, rest and limit as well. A request without an id gets a connection of its own, since nothing tells its response from a late one without an id. isMismatched, which meant two things, became requestMatch, isConnectionNew and isBodyEncoded; the tests that used it state the same as requestMatch 'another'.

--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -9,6 +9,7 @@
 import { createTargetClient } from '../targets/createTargetClient.js';
 import type { Exchange } from '../targets/exchange.js';
 import type { HeaderCodec } from './headerCodec.js';
+import { matchRequest } from './matchRequest.js';
 import type { RequestTable } from './requestTable.js';
 import { createStreamingSink } from './createStreamingSink.js';
 import { createBufferedSink } from './createBufferedSink.js';
@@ -73,13 +74,12 @@
     return {
       reportHead: (status, headers) => {
         const { attemptId, ...targetStatements } = codec.readResponseHeaders(status, headers);
-        const isMismatched =
-          attemptId !== openRequest.caller.headers.attemptId ||
-          headers['content-encoding'] !== undefined;
         const head = {
           ...targetStatements,
           status,
-          isMismatched,
+          requestMatch: matchRequest(openRequest.caller.headers.attemptId, attemptId),
+          isConnectionNew: openRequest.exchange?.isConnectionNew ?? false,
+          isBodyEncoded: headers['content-encoding'] !== undefined,
           isFramed: hasFramingHeaders(headers),
           ...toOptionalField('mediaType', shortenForLog(headers['content-type'])),
         };
@@ -146,6 +146,8 @@
           }),
         ],
         body,
+        // Nothing tells the responses to two requests without ids on one connection apart.
+        needsOwnConnection: attemptId === undefined,
         recordFirstByteSent: () => {
           const { requestId, sendId } = send;
           const sendIds = { requestId, sendId, ...toOptionalField('attemptId', attemptId) };
--- a/packages/router/src/targets/createTargetClient.ts
+++ b/packages/router/src/targets/createTargetClient.ts
@@ -38,11 +38,7 @@
     idleConnections.set(address, remaining);
   };
 
-  const acquireConnection = (address: string): TargetConnection => {
-    const idle = idleConnections.get(address)?.pop();
-    if (idle !== undefined) {
-      return idle;
-    }
+  const openConnection = (address: string): TargetConnection => {
     const connection = createTargetConnection(address);
     connection.client.on('disconnect', () => {
       removeIdleConnection(address, connection);
@@ -58,10 +54,19 @@
   };
 
   const send = (
-    { address, method, path, headers, body, recordFirstByteSent }: TargetRequest,
+    {
+      address,
+      method,
+      path,
+      headers,
+      body,
+      needsOwnConnection,
+      recordFirstByteSent,
+    }: TargetRequest,
     sink: ResponseSink,
   ): Exchange => {
-    const connection = acquireConnection(address);
+    const idle = needsOwnConnection ? undefined : idleConnections.get(address)?.pop();
+    const connection = idle ?? openConnection(address);
     let controller: Dispatcher.DispatchController | undefined;
     let hasStarted = false;
     let isFinished = false;
@@ -120,7 +125,8 @@
         }
         connection.recordProgress();
         hasFraming = hasFramingHeaders(responseHeaders);
-        canReuseConnection = hasFraming && !hasConnectionClose(responseHeaders);
+        canReuseConnection =
+          hasFraming && !needsOwnConnection && !hasConnectionClose(responseHeaders);
         sink.handleHead(status, responseHeaders, readRawHeaders(startedController));
       },
       onResponseData: (startedController, chunk) => {
@@ -152,6 +158,7 @@
     }
 
     return {
+      isConnectionNew: idle === undefined,
       cancel: () => {
         if (isFinished) {
           return;
--- a/packages/router/src/targets/targetRequest.ts
+++ b/packages/router/src/targets/targetRequest.ts
@@ -7,6 +7,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether no other request may share the connection, before or after. */
+  readonly needsOwnConnection: boolean;
   /** Called when the first byte is sent. */
   readonly recordFirstByteSent: () => void;
 }
--- a/packages/routing/src/limits/recordTargetLimit.ts
+++ b/packages/routing/src/limits/recordTargetLimit.ts
@@ -7,18 +7,19 @@
 
 /**
  * Records the limit that a target names in the head of a response. A limit holds for as long as each response names it;
- * the response of another target, or one without a signature, does not end it.
+ * one that does not name the request, or has no signature, does not end it.
  */
 export const recordTargetLimit = (
   state: RoutingState,
   targetId: string,
-  { limitPerSecond, isMismatched, isSigned }: ResponseHead,
+  { limitPerSecond, requestMatch, isSigned }: ResponseHead,
   nowMs: number,
 ): StepResult => {
   const known = state.targetLimits.get(getTargetStart(state, targetId));
   const isLimited = known?.perSecond !== undefined;
-  const endsLimit = limitPerSecond === undefined && isLimited && isSigned;
-  if (isMismatched || (limitPerSecond === undefined && !endsLimit)) {
+  const isResponse = isSigned && requestMatch === 'own';
+  const endsLimit = limitPerSecond === undefined && isLimited && isResponse;
+  if (limitPerSecond === undefined && !endsLimit) {
     return createStepResult(state);
   }
   const stated = { perSecond: limitPerSecond, statedAtMs: nowMs, isLocal: true };
--- a/packages/routing/src/responseHead.ts
+++ b/packages/routing/src/responseHead.ts
@@ -1,3 +1,5 @@
+import type { RequestMatch } from './requestMatch.js';
+
 /** The head of a target's response, reduced to what the scheduler needs. */
 export interface ResponseHead {
   readonly status: number;
@@ -5,8 +7,12 @@
   readonly isSigned: boolean;
   /** The target reports that it did not run the request. */
   readonly isNotRun: boolean;
-  /** The response belongs to another request, or its body is not as the target sent it. */
-  readonly isMismatched: boolean;
+  /** Which request the response names. */
+  readonly requestMatch: RequestMatch;
+  /** No other request was sent on the connection before. */
+  readonly isConnectionNew: boolean;
+  /** The body is not as the target made it. */
+  readonly isBodyEncoded: boolean;
   /** The target reports that it is draining: it accepts no new work and will shut down. */
   readonly isLeaving: boolean;
   /** The requests per second that the target takes from all entries together; undefined if it names no limit. */
--- a/packages/routing/src/steps/handleResponseHead.ts
+++ b/packages/routing/src/steps/handleResponseHead.ts
@@ -7,6 +7,7 @@
 import type { RoutingState } from '../routingState.js';
 import { chainStep } from './chainStep.js';
 import { handleSendFailure } from './handleSendFailure.js';
+import { isBelieved } from './isBelieved.js';
 import { createStepResult } from './createStepResult.js';
 import type { StepResult } from './stepResult.js';
 import type { StepContext } from './stepContext.js';
@@ -24,6 +25,10 @@
   context: StepContext,
 ): boolean => head.status >= FIRST_SERVER_ERROR_STATUS && canRunAgain(state, request, context);
 
+/** A response that does not name the request is not relayed, whatever its connection. */
+const isWellFormed = ({ requestMatch, isBodyEncoded, isSigned, status }: ResponseHead): boolean =>
+  requestMatch === 'own' && !isBodyEncoded && (isSigned || status >= FIRST_ERROR_STATUS);
+
 const evaluateHead = (
   state: RoutingState,
   request: TrackedRequest,
@@ -35,13 +40,13 @@
     return createStepResult(state);
   }
   const cancel = { type: 'cancelSend', requestId, sendId: send.sendId } as const;
-  if (head.isNotRun) {
+  if (head.isNotRun && isBelieved(head)) {
     const cancelled = chainStep(startCooldown(state, send.targetId, context.nowMs), (current) =>
       createStepResult(current, cancel),
     );
     return chainStep(cancelled, (current) => retryOrRefuse(current, request, 'notRun', context));
   }
-  if (head.isMismatched || (!head.isSigned && head.status < FIRST_ERROR_STATUS)) {
+  if (!isWellFormed(head)) {
     return handleSendFailure(state, request, 'malformed', context);
   }
   if (request.hasResponseStarted && head.status >= FIRST_ERROR_STATUS) {
@@ -69,9 +74,11 @@
   head: ResponseHead,
   nowMs: number,
 ): StepResult =>
-  chainStep(recordTargetReport(state, targetId, head, nowMs), (current) =>
-    recordTargetLimit(current, targetId, head, nowMs),
-  );
+  isBelieved(head)
+    ? chainStep(recordTargetReport(state, targetId, head, nowMs), (current) =>
+        recordTargetLimit(current, targetId, head, nowMs),
+      )
+    : createStepResult(state);
 
 /** Decides by the head of a response whether it is forwarded or the send counts as failed. */
 export const handleResponseHead = (
--- a/packages/routing/src/steps/recordTargetReport.ts
+++ b/packages/routing/src/steps/recordTargetReport.ts
@@ -35,8 +35,8 @@
   nowMs: number,
 ): StepResult => {
   const listed = state.targets.get(targetId)?.listed;
-  const { isMismatched, isLeaving, refusesForMs } = head;
-  if (listed === undefined || isMismatched || (!isLeaving && refusesForMs === undefined)) {
+  const { isLeaving, refusesForMs } = head;
+  if (listed === undefined || (!isLeaving && refusesForMs === undefined)) {
     return createStepResult(state);
   }
   const previousReport = getTargetReport(state, listed);
--- a/packages/routing/tests/sending.test.ts
+++ b/packages/routing/tests/sending.test.ts
@@ -82,7 +82,7 @@
   it('treats a response to another request, or one without a signature, as a failed send', () => {
     const entry = createReadyFor('nonIdempotent');
     const foreign = entry.arrive();
-    entry.receiveHead(foreign, { ...GOOD_HEAD, isMismatched: true });
+    entry.receiveHead(foreign, { ...GOOD_HEAD, requestMatch: 'another' });
     const unsigned = entry.arrive();
     entry.receiveHead(unsigned, { ...GOOD_HEAD, isSigned: false });
     expect(entry.getRefusal(foreign)?.status).toBe(502);
--- a/packages/routing/tests/support/goodHead.ts
+++ b/packages/routing/tests/support/goodHead.ts
@@ -5,6 +5,8 @@
   status: 200,
   isSigned: true,
   isNotRun: false,
-  isMismatched: false,
+  requestMatch: 'own',
+  isConnectionNew: false,
+  isBodyEncoded: false,
   isLeaving: false,
 };
--- a/packages/routing/tests/support/notRunHead.ts
+++ b/packages/routing/tests/support/notRunHead.ts
@@ -5,6 +5,8 @@
   status: 503,
   isSigned: false,
   isNotRun: true,
-  isMismatched: false,
+  requestMatch: 'own',
+  isConnectionNew: false,
+  isBodyEncoded: false,
   isLeaving: false,
 };
--- a/packages/routing/tests/targetLimits.test.ts
+++ b/packages/routing/tests/targetLimits.test.ts
@@ -172,7 +172,11 @@
 
   it('does not get or lose it by a response that belongs to another request', () => {
     const entry = RoutingHarness.createReady(newConfiguration(), newTargets(1, { slots: 10 }));
-    entry.receiveHead(entry.arrive(), { ...GOOD_HEAD, limitPerSecond: 0.2, isMismatched: true });
+    entry.receiveHead(entry.arrive(), {
+      ...GOOD_HEAD,
+      limitPerSecond: 0.2,
+      requestMatch: 'another',
+    });
     expect(entry.getSends(entry.arrive())).toHaveLength(1);
   });
 });
--- a/packages/routing/tests/targetReports.test.ts
+++ b/packages/routing/tests/targetReports.test.ts
@@ -61,7 +61,7 @@
 
   it('is not considered draining by a response that belongs to another request', () => {
     const entry = createReadyWith(newTargets(1, { slots: 10 }));
-    entry.receiveHead(entry.arrive(), { ...LEAVING_HEAD, isMismatched: true });
+    entry.receiveHead(entry.arrive(), { ...LEAVING_HEAD, requestMatch: 'another' });
     expect(entry.getSends(entry.arrive())).toHaveLength(1);
   });
 });
