Logs: whether a malformed response named another request or none

sendFailed said 'malformed' of a late response to another request as of any other bytes, so a record could not tell a target that answers late from one that sends garbage. responseFault now says namesAnother or namesNone, and explain says it in words.

--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -14,13 +14,21 @@
   notAnEvent: 'bytes that are no event',
   outOfOrder: 'an event out of order',
   tooLong: 'an event that never ended',
+  namesAnother: 'a response that names another request',
+  namesNone: 'a response that names no request',
 };
+/** Faults of a head, which has no event. */
+const HEAD_FAULTS: ReadonlySet<string> = new Set(['namesAnother', 'namesNone']);
 
 const describeFault = (failed: ParsedLogLine): string => {
   const fault = getTextField(failed, 'responseFault');
-  return fault === '-'
-    ? ''
-    : ` (${FAULT_DESCRIPTIONS[fault] ?? fault}: id ${JSON.stringify(getTextField(failed, 'eventId'))} after ${JSON.stringify(getTextField(failed, 'lastEventId'))})`;
+  if (fault === '-') {
+    return '';
+  }
+  const description = FAULT_DESCRIPTIONS[fault] ?? fault;
+  return HEAD_FAULTS.has(fault)
+    ? ` (${description})`
+    : ` (${description}: id ${JSON.stringify(getTextField(failed, 'eventId'))} after ${JSON.stringify(getTextField(failed, 'lastEventId'))})`;
 };
 
 const describeSimilarFailures = (similarFailures: readonly ParsedLogLine[]): string => {
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -74,7 +74,7 @@
   },
   responseFault: {
     type: 'string',
-    text: 'what was wrong with a malformed response: notAnEvent, outOfOrder or tooLong',
+    text: 'what was wrong with a malformed response: notAnEvent, outOfOrder, tooLong, namesAnother or namesNone',
   },
   restMs: {
     type: 'number',
--- a/packages/routing/src/steps/handleResponseHead.ts
+++ b/packages/routing/src/steps/handleResponseHead.ts
@@ -1,4 +1,6 @@
 import { toOptionalField } from '@parsleyhall/common';
+import type { RequestMatch } from '../requestMatch.js';
+import type { ResponseFault } from '../responseFault.js';
 import type { ResponseHead } from '../responseHead.js';
 import { recordTargetLimit } from '../limits/recordTargetLimit.js';
 import { putRequest } from '../requests/putRequest.js';
@@ -18,6 +20,12 @@
 const FIRST_SERVER_ERROR_STATUS = 500;
 const FIRST_ERROR_STATUS = 400;
 
+const MATCH_FAULTS: Readonly<Record<RequestMatch, ResponseFault | undefined>> = {
+  own: undefined,
+  another: { responseFault: 'namesAnother' },
+  none: { responseFault: 'namesNone' },
+};
+
 const isRetryableError = (
   state: RoutingState,
   request: TrackedRequest,
@@ -47,7 +55,7 @@
     return chainStep(cancelled, (current) => retryOrRefuse(current, request, 'notRun', context));
   }
   if (!isWellFormed(head)) {
-    return handleSendFailure(state, request, 'malformed', context);
+    return handleSendFailure(state, request, 'malformed', context, MATCH_FAULTS[head.requestMatch]);
   }
   if (request.hasResponseStarted && head.status >= FIRST_ERROR_STATUS) {
     return handleSendFailure(state, request, 'broken', context);
--- a/packages/routing/tests/responseIdentity.test.ts
+++ b/packages/routing/tests/responseIdentity.test.ts
@@ -107,6 +107,23 @@
   );
 });
 
+// Guards against lines that don't tell a stray response from other bytes.
+describe('the line of a failed send', () => {
+  it.each([
+    ['another', 'namesAnother'],
+    ['none', 'namesNone'],
+  ] as const)('tells that the response names %s', (requestMatch, responseFault) => {
+    const entry = startReady('nonIdempotent');
+    receive(entry, { ...NOT_RUN_HEAD, requestMatch });
+    expect(entry.effects).toContainEqual(
+      expect.objectContaining({
+        name: 'sendFailed',
+        fields: expect.objectContaining({ failure: 'malformed', responseFault }) as unknown,
+      }),
+    );
+  });
+});
+
 // Guards against sending to no target, or to one that refuses, by what a stray response says.
 describe('what a target says of itself', () => {
   const statements = [
