--- a/packages/routing/src/responseFault.ts
+++ b/packages/routing/src/responseFault.ts
@@ -11,7 +11,11 @@
     | 'numberTaken'
     /** A stream ended without an event. */
     | 'noEvents'
-    | 'tooLong';
+    | 'tooLong'
+    /** The response names another request. */
+    | 'namesAnother'
+    /** It names none, where a name is needed. */
+    | 'namesNone';
   /** The id of the event at which the fault was noticed, shortened; undefined if it states none. */
   readonly eventId?: string;
   /** The id of the last event that the caller had received by then; undefined if it had received none. */
