--- a/packages/router/src/callers/createArrival.ts
+++ b/packages/router/src/callers/createArrival.ts
@@ -19,7 +19,8 @@
 }): Arrival => {
   const wasReadLate = isReadLate(earliestArrivalAtMs, readAtMs);
   const unreadMs = readAtMs - earliestArrivalAtMs;
-  // The request arrived at an unknown moment in that time; its middle keeps the largest possible error smallest.
+  // The request arrived at an unknown moment in that time; its middle keeps the largest possible error smallest. It
+  // cannot have arrived after it was read.
   const estimatedArrivalAtMs = wasReadLate ? readAtMs - unreadMs / 2 : readAtMs;
   return {
     ...headers,
@@ -28,6 +29,6 @@
     path: (request.url ?? '/').split('?')[0] ?? '/',
     random,
     elapsedMs: nowMs - estimatedArrivalAtMs,
-    ...(wasReadLate ? { unreadMs: Math.round(unreadMs) } : {}),
+    ...(wasReadLate ? { minElapsedMs: nowMs - readAtMs, unreadMs: Math.round(unreadMs) } : {}),
   };
 };
--- a/packages/routing/src/requests/arrival.ts
+++ b/packages/routing/src/requests/arrival.ts
@@ -7,8 +7,10 @@
   readonly host: string;
   readonly path: string;
   readonly key?: string;
-  /** How long the caller has been waiting so far, as far as this entry can tell, in milliseconds. */
+  /** How long the caller has been waiting so far, by this entry's best estimate, in milliseconds. */
   readonly elapsedMs: number;
+  /** How long the caller has been waiting so far at least, in milliseconds; undefined if `elapsedMs` is certain. */
+  readonly minElapsedMs?: number;
   /** How long the caller waits in total, in milliseconds; undefined if it does not state that. */
   readonly deadlineMs?: number;
   /** How long the request may have waited before this entry read it, in milliseconds; undefined if negligible. */
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -24,6 +24,7 @@
   readonly nowMs: number;
 }): TrackedRequest => {
   const arrivedAtMs = nowMs - arrival.elapsedMs;
+  const latestArrivalAtMs = nowMs - (arrival.minElapsedMs ?? arrival.elapsedMs);
   const callerTimeoutMs = Math.min(arrival.deadlineMs ?? route.timeoutMs, route.timeoutMs);
   return {
     requestId: arrival.requestId,
@@ -38,6 +39,7 @@
     objectiveAtMs: arrivedAtMs + route.objectiveMs,
     responseStartDeadlineAtMs: arrivedAtMs + Math.min(route.longestSilenceMs, callerTimeoutMs),
     deadlineAtMs: arrivedAtMs + callerTimeoutMs,
+    latestDeadlineAtMs: latestArrivalAtMs + callerTimeoutMs,
     promptTokens: arrival.promptTokens ?? 0,
     expectedOutputTokens: arrival.expectedOutputTokens ?? arrival.maxOutputTokens ?? 0,
     sharedPromptParts,
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -13,6 +13,7 @@
   readonly teamPriority?: number;
   /** The route's priority, which decides among teams of equal priority; 0 is the highest. */
   readonly tier: number;
+  /** When it arrived, by the best estimate. */
   readonly arrivedAtMs: number;
   /** How long it may have waited before this entry read it, in milliseconds; undefined if negligible. */
   readonly unreadMs?: number;
@@ -20,8 +21,13 @@
   readonly objectiveAtMs: number;
   /** At this moment the caller gives up unless the response has started. */
   readonly responseStartDeadlineAtMs: number;
-  /** At this moment the caller gives up even if the response has started. */
+  /**
+   * At this moment the caller gives up even if the response has started, by the best estimate of the arrival. Orders
+   * requests, and refuses those that are at no target.
+   */
   readonly deadlineAtMs: number;
+  /** The latest moment at which the deadline can pass. Ends what is under way. */
+  readonly latestDeadlineAtMs: number;
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   /** Ids of the parts of the prompt that other requests may share, in order. */
--- a/packages/routing/src/steps/checkTimeouts.ts
+++ b/packages/routing/src/steps/checkTimeouts.ts
@@ -1,5 +1,7 @@
 import { predictQueueing } from '../queue/predictQueueing.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
+import { isExpired } from '../requests/isExpired.js';
+import { isOverdue } from '../requests/isOverdue.js';
 import type { Refusal } from '../requests/refusal.js';
 import { refuseRequest } from '../requests/refuseRequest.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
@@ -33,7 +35,9 @@
 };
 
 const canFailOver = (state: RoutingState, request: TrackedRequest, context: StepContext): boolean =>
-  isStalled(request, context.nowMs) && canRunAgain(state, request, context);
+  isStalled(request, context.nowMs) &&
+  !isExpired(request, context.nowMs) &&
+  canRunAgain(state, request, context);
 
 /** Refuses a request whose time is up and retries one whose target has stalled on another target. */
 export const checkTimeouts = (
@@ -42,7 +46,7 @@
   context: StepContext,
 ): StepResult => {
   const { nowMs } = context;
-  if (nowMs >= request.deadlineAtMs) {
+  if (isOverdue(request, nowMs)) {
     return refuseRequest(
       state,
       request,
