Streams: an id without data is no event where events need no numbers, either

Callers of plain streams got 'id: 7' without data inside a complete stream: the rule for numbered events didn't hold for the others. An id takes a number, so its block has to be an event, and one without data is none. The new case of eventOrder.test.ts failed before.

--- a/packages/router/src/requests/createStreamReader.ts
+++ b/packages/router/src/requests/createStreamReader.ts
@@ -39,7 +39,8 @@
       return { responseFault: 'notAnEvent' };
     }
     const eventId = toOptionalField('eventId', block.id);
-    if (format.isNumbered && !block.hasData) {
+    // An id takes a number, so that it makes an event even where none is needed.
+    if ((format.isNumbered || block.id !== undefined) && !block.hasData) {
       return { responseFault: 'noData', ...eventId };
     }
     const position = placeEvent(block.id);
