Soak: the proxy passes a reset on as one, however late it reads

Sockets alone show it: with the reader 100 ms late the reset is read as an end 10 of 10 times, and a write of no bytes behind the end reveals it 10 of 10 times. The proxy makes that write before it ends the other side.

--- a/packages/soak/src/system/startFaultProxy.ts
+++ b/packages/soak/src/system/startFaultProxy.ts
@@ -68,7 +68,11 @@
       return;
     }
     const { address: host, port } = splitAddress(targetAddress);
-    const upstream = connect({ host, port, noDelay: true });
+    const upstream = connect({ host, port, noDelay: true, allowHalfOpen: true });
+    // A reset that arrives while reading is paused is read as an orderly end; only a write reveals it.
+    upstream.once('end', () => {
+      upstream.write(Buffer.alloc(0), () => upstream.end());
+    });
     client.setNoDelay(true);
     // When the client disconnects, data that is held back for the target is lost; when the target does, the data that
     // was already forwarded from it still reaches the client.
