Product's own headers: a target gets Last-Event-Id once

A resumed stream whose caller had itself named an event went to its target with two Last-Event-Id headers, the caller's and the entry's, and the target could go on behind either: the header was written by the entry and not reserved. It is now; the test, which failed before, asks it of every header that the entry writes.

--- a/packages/daemon/src/routerProcess/defaultCallCodec.ts
+++ b/packages/daemon/src/routerProcess/defaultCallCodec.ts
@@ -39,7 +39,7 @@
  * share), and in responses `x-limit-per-second` (what the target takes from all routers together).
  */
 export const defaultCallCodec: HeaderCodec = {
-  reservedHeaders: new Set([TEAM_KEY, TEAM, DEADLINE]),
+  reservedHeaders: new Set([TEAM_KEY, TEAM, DEADLINE, LAST_EVENT_ID]),
   readRequestHeaders: (headers) => ({
     ...toOptionalField('attemptId', readText(headers, REQUEST_ID)),
     ...toOptionalField('key', readText(headers, TEAM_KEY)),
