--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -72,6 +72,7 @@
     { requestId, sendId }: Send,
   ): SendReporter => {
     let hasEnded = false;
+    let isCommitted = false;
     return {
       reportHead: (status, headers) => {
         const { attemptId, ...targetStatements } = codec.readResponseHeaders(status, headers);
@@ -94,6 +95,10 @@
         dispatch({ type: 'responseProgressed', requestId, sendId });
       },
       reportCommitted: () => {
+        if (isCommitted) {
+          return;
+        }
+        isCommitted = true;
         dispatch({ type: 'responseCommitted', requestId, sendId });
       },
       reportEnd: (events) => {
