Tests that fail: resumed streams that end too early, and lines joined to a sound event

Callers get a complete 200 that is not the stream: a next target's 204, 302 (with its body) or 304, or one that begins anew and ends before what the caller has, ends the response as complete; a line without a blank line becomes a part of the sound event behind it; an empty Last-Event-Id, or 0, counts as an event that the caller had. And a break that is not needed: an event with number 0.

--- a/packages/router/tests/resumedStreams.test.ts
+++ b/packages/router/tests/resumedStreams.test.ts
@@ -155,3 +155,87 @@
     expect(played).toMatchObject({ isComplete: true, body: writeEvents(6, 10) });
   });
 });
+
+describe('a stream that the next target ends before what the caller has', () => {
+  // Guards against ORDER: a redirect's body inside a complete stream, which ended too early.
+  it.each(['204 No Content', '302 Found', '304 Not Modified'])(
+    'is not complete after a response with status %s',
+    async (status) => {
+      const text = status.startsWith('302') ? 'foreign\n' : '';
+      const other: Answer = {
+        writes: [writeHead(status, `Content-Length: ${text.length}`) + text],
+      };
+      const played = await playAnswers([BROKEN_BEHIND_5, other, answerWith(writeEvents(6, 10))]);
+      expect(played).toMatchObject({ isComplete: true, body: WHOLE_STREAM, sends: 3 });
+    },
+  );
+
+  // Guards against ORDER: a target that began anew and ended before the relayed event made the stream look complete.
+  it('is not complete if that one begins anew and ends before that event', async () => {
+    const short = answerWith(writeEvents(1, 3));
+    const played = await playAnswers([BROKEN_BEHIND_5, short, answerWith(writeEvents(6, 10))]);
+    expect(played).toMatchObject({ isComplete: true, body: WHOLE_STREAM, sends: 3 });
+  });
+
+  // Guards against ORDER: the same with what the caller itself says it has.
+  it("is not complete if the target ends before the caller's own Last-Event-Id", async () => {
+    const short = answerWith(writeEvents(1, 3));
+    const played = await playAnswers(
+      [short, answerWith(writeEvents(6, 10))],
+      'Last-Event-Id: 5\r\n',
+    );
+    expect(played).toMatchObject({ isComplete: true, body: writeEvents(6, 10), sends: 2 });
+  });
+});
+
+describe('bytes without a blank line in front of a sound event', () => {
+  // Guards against ORDER: lines that no run made reached callers as a part of the event that followed them.
+  it.each(['data: foreign\n', 'event: foreign\n', 'retry: 1\n', 'id: 6\ndata: foreign'])(
+    'are not relayed (%j)',
+    async (text) => {
+      const spoilt: Answer = {
+        writes: [
+          writeHead() + toChunk(writeEvents(1, 5)),
+          toChunk(text),
+          toChunk(writeEvents(6, 10)) + LAST_CHUNK,
+        ],
+      };
+      const played = await playAnswers([spoilt, answerWith(writeEvents(6, 10))]);
+      expect(played).toMatchObject({ isComplete: true, body: WHOLE_STREAM });
+    },
+  );
+});
+
+describe('a Last-Event-Id that names no event', () => {
+  // Guards against ORDER: such a header counted as an event that the caller had.
+  it.each(['', '0'])('does not make an empty response a complete stream (%j)', async (id) => {
+    const answers = [answerWith(), answerWith(WHOLE_STREAM)];
+    const played = await playAnswers(answers, `Last-Event-Id: ${id}\r\n`);
+    expect(played).toMatchObject({ isComplete: true, body: WHOLE_STREAM, sends: 2 });
+  });
+
+  // Guards against ORDER: behind such a header a stream could begin with any number, and was resumed behind it.
+  it('does not let a stream begin anywhere if it is empty', async () => {
+    const spoilt: Answer = {
+      writes: [writeHead() + toChunk('id: 9\ndata: foreign\n\n')],
+      isResetBehind: true,
+    };
+    const rest = answerWith(writeEvents(10, 10));
+    const played = await playAnswers(
+      [spoilt, rest, answerWith(WHOLE_STREAM)],
+      'Last-Event-Id: \r\n',
+    );
+    expect(played.isComplete && played.body !== WHOLE_STREAM).toBe(false);
+  });
+});
+
+describe('an event with a number below the first', () => {
+  // Guards against a break that callers need not see: no sound event can have such a number.
+  it('puts no earlier event in doubt', async () => {
+    const spoilt: Answer = {
+      writes: [writeHead() + toChunk(writeEvents(1, 5)), toChunk('id: 0\ndata: foreign\n\n')],
+    };
+    const played = await playAnswers([spoilt, answerWith(writeEvents(6, 10))]);
+    expect(played).toMatchObject({ isComplete: true, body: WHOLE_STREAM });
+  });
+});
