Streams: a response to HEAD has no events on any route

HEAD on a streaming route got 502 in place of the target's 200, as a stream without events; found by the review. Its response is relayed as one without a stream. resumedStreams.test.ts failed on it before.

--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -166,7 +166,8 @@
           reportSendDelay(sendIds, performance.now() - decidedAtMs);
         },
       },
-      send.isBuffered
+      // A response to HEAD has no events on any route.
+      send.isBuffered || request.method === 'HEAD'
         ? createBufferedSink(openRequest.relay, reporter)
         : createStreamingSink(
             openRequest.relay,
