Streams: what the rest of a read, a cut event or an early end says of what came before

And sound ones were cut: behind comments or line ends without a blank line before the end, and for a number below the first one, which puts nothing in doubt.

--- a/packages/daemon/src/routerProcess/defaultCallCodec.ts
+++ b/packages/daemon/src/routerProcess/defaultCallCodec.ts
@@ -55,7 +55,7 @@
     ...(team === undefined ? [] : [TEAM, team]),
     ...(lastEventId === undefined ? [] : [LAST_EVENT_ID, lastEventId]),
   ],
-  eventFormat: { isNumbered: false, firstNumber: 1, extraFields: new Set() },
+  eventFormat: { isNumbered: false, firstNumber: 1, isIdFirst: false, extraFields: new Set() },
   readResponseHeaders: (_, headers) => ({
     ...toOptionalField('attemptId', readText(headers, REQUEST_ID)),
     ...toOptionalField('limitPerSecond', readRate(headers, LIMIT_PER_SECOND)),
--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -18,6 +18,8 @@
   numberSkipped: 'an event whose number leaves others out',
   numberTaken: 'an event with the number of one before',
   noEvents: 'a stream without events',
+  endsTooEarly: 'a stream that ends before the last event that the caller has',
+  noStream: 'a response without events in the place of the rest of a stream',
   tooLong: 'an event that never ended',
   namesAnother: 'a response that names another request',
   namesNone: 'a response that names no request',
--- a/packages/router/src/requests/createEventOrder.ts
+++ b/packages/router/src/requests/createEventOrder.ts
@@ -18,12 +18,11 @@
   let lastRelayed: number | undefined;
 
   const isStart = (number: number): boolean => {
-    const lastRelayedId = getLastRelayedId();
-    lastRelayed = parseEventNumber(lastRelayedId);
-    // Without numbers, or behind an id that is none, nothing tells where the response begins.
-    const isStartKnown = isNumbered && (lastRelayedId === undefined || lastRelayed !== undefined);
+    // An id that no event has is as good as none.
+    lastRelayed = parseEventNumber(getLastRelayedId(), firstNumber);
     const highestStart = lastRelayed === undefined ? firstNumber : lastRelayed + 1;
-    return !isStartKnown || (number >= firstNumber && number <= highestStart);
+    // Where events need no numbers, nothing tells where a response begins.
+    return !isNumbered || (number >= firstNumber && number <= highestStart);
   };
 
   const place = (number: number): EventPosition => {
@@ -38,7 +37,7 @@
   };
 
   return (id) => {
-    const number = parseEventNumber(id);
+    const number = parseEventNumber(id, 0);
     if (number === undefined) {
       return isNumbered || lastNumber !== undefined ? 'noNumber' : 'next';
     }
--- a/packages/router/src/requests/createStreamReader.ts
+++ b/packages/router/src/requests/createStreamReader.ts
@@ -3,6 +3,7 @@
 import { createEventSplitter } from './createEventSplitter.js';
 import type { EventFormat } from './eventFormat.js';
 import { parseEventNumber } from './parseEventNumber.js';
+import type { SoundBlock } from './soundBlock.js';
 import type { SplitBlock } from './splitBlock.js';
 import type { StreamFault } from './streamFault.js';
 import type { StreamReader } from './streamReader.js';
@@ -10,85 +11,102 @@
 /** A stream with a longer event is treated as malformed. */
 const MAX_EVENT_BYTES = 1_048_576;
 
-type SoundBlock = Exclude<SplitBlock, { kind: 'malformed' }>;
 type Fault = Omit<StreamFault, 'areEarlierInDoubt'>;
+/** What is to be done with a block. */
+type Judgement =
+  | { readonly type: 'relay'; readonly block: SoundBlock }
+  | { readonly type: 'leaveOut' }
+  | { readonly type: 'fail'; readonly fault: Fault };
 
-/** Whether the block is an event with this number or a higher one. */
-const hasNumberFrom = (block: SoundBlock, number: number): boolean =>
-  block.kind === 'event' && (parseEventNumber(block.id) ?? -1) >= number;
-
-/**
- * Creates a reader of a new stream. `getLastRelayedId` returns the id of the last event that the caller has received from
- * another target, or undefined; it is asked at the first event.
- */
+/** Creates a reader of a new stream. `getLastRelayedId` returns the id of the last event that the caller has received. */
 export const createStreamReader = (
   format: EventFormat,
   getLastRelayedId: () => string | undefined,
 ): StreamReader => {
-  const splitter = createEventSplitter(format.extraFields);
+  const splitter = createEventSplitter(format);
   const placeEvent = createEventOrder(format, getLastRelayedId);
+  /** The number of the last event that was read. */
+  let lastNumberRead: number | undefined;
   /** The number of the last event of the reads before this one that was to be relayed. */
   let lastNumberReturned: number | undefined;
 
-  /** Returns the fault of a block, or whether it is to be relayed. */
-  const judge = (block: SplitBlock): Fault | boolean => {
-    if (block.kind === 'comment') {
-      return true;
-    }
-    if (block.kind === 'malformed') {
-      return { responseFault: 'notAnEvent' };
-    }
+  const parseNumber = (id: string | undefined): number | undefined =>
+    parseEventNumber(id, format.firstNumber);
+
+  const judgeEvent = (block: Extract<SplitBlock, { kind: 'event' }>): Judgement => {
     const eventId = toOptionalField('eventId', block.id);
     // An id takes a number, so that it makes an event even where none is needed.
     if ((format.isNumbered || block.id !== undefined) && !block.hasData) {
-      return { responseFault: 'noData', ...eventId };
+      return { type: 'fail', fault: { responseFault: 'noData', ...eventId } };
     }
     const position = placeEvent(block.id);
-    return position === 'next' || position === 'repeated'
-      ? position === 'next'
-      : { responseFault: position, ...eventId };
+    if (position !== 'next' && position !== 'repeated') {
+      return { type: 'fail', fault: { responseFault: position, ...eventId } };
+    }
+    lastNumberRead = parseNumber(block.id) ?? lastNumberRead;
+    return position === 'next' ? { type: 'relay', block } : { type: 'leaveOut' };
   };
 
-  /** Two events claim one number, and either may be made up: all from that number on are in doubt. */
-  const leaveOutDoubtful = (blocks: readonly SoundBlock[], fault: Fault) => {
-    const number = parseEventNumber(fault.eventId);
-    if (fault.responseFault !== 'numberTaken' || number === undefined) {
-      return { blocks, fault: { ...fault, areEarlierInDoubt: false } };
+  const judge = (block: SplitBlock): Judgement => {
+    switch (block.kind) {
+      case 'comment':
+        return { type: 'relay', block };
+      case 'malformed':
+        return { type: 'fail', fault: { responseFault: 'notAnEvent' } };
+      case 'event':
+        return judgeEvent(block);
     }
-    const firstDoubtful = blocks.findIndex((block) => hasNumberFrom(block, number));
-    return {
-      blocks: firstDoubtful < 0 ? blocks : blocks.slice(0, firstDoubtful),
-      fault: {
-        ...fault,
-        areEarlierInDoubt: lastNumberReturned !== undefined && lastNumberReturned >= number,
-      },
-    };
   };
 
-  const recordReturned = (blocks: readonly SoundBlock[]): void => {
-    const lastEvent = blocks.findLast(({ kind }) => kind === 'event');
-    if (lastEvent?.kind === 'event') {
-      lastNumberReturned = parseEventNumber(lastEvent.id) ?? lastNumberReturned;
+  /** Two events claim one number, and either may be made up: all from that number on are in doubt. */
+  const areEarlierInDoubt = ({ responseFault, eventId }: Fault): boolean => {
+    const number = parseNumber(eventId);
+    return (
+      responseFault === 'numberTaken' &&
+      number !== undefined &&
+      lastNumberReturned !== undefined &&
+      lastNumberReturned >= number
+    );
+  };
+
+  const readBlocks = (bytes: Buffer): readonly SoundBlock[] | Fault => {
+    const blocks: SoundBlock[] = [];
+    for (const block of splitter.push(bytes)) {
+      const judgement = judge(block);
+      if (judgement.type === 'fail') {
+        return judgement.fault;
+      }
+      if (judgement.type === 'relay') {
+        blocks.push(judgement.block);
+      }
     }
+    return splitter.countIncompleteBytes() > MAX_EVENT_BYTES
+      ? { responseFault: 'tooLong' }
+      : blocks;
   };
 
   return {
     read: (bytes) => {
-      const blocks: SoundBlock[] = [];
-      for (const block of splitter.push(bytes)) {
-        const judgement = judge(block);
-        if (typeof judgement !== 'boolean') {
-          return leaveOutDoubtful(blocks, judgement);
-        }
-        if (judgement && block.kind !== 'malformed') {
-          blocks.push(block);
-        }
+      const result = readBlocks(bytes);
+      if ('responseFault' in result) {
+        return { blocks: [], fault: { ...result, areEarlierInDoubt: areEarlierInDoubt(result) } };
+      }
+      if (result.some(({ kind }) => kind === 'event')) {
+        lastNumberReturned = lastNumberRead;
+      }
+      return { blocks: result };
+    },
+    hasIncompleteEvent: splitter.hasIncompleteEvent,
+    findEndFault: () => {
+      const lastRelayed = parseNumber(getLastRelayedId());
+      if (format.isNumbered && lastRelayed === undefined) {
+        return { responseFault: 'noEvents', areEarlierInDoubt: false };
       }
-      recordReturned(blocks);
-      return splitter.countIncompleteBytes() > MAX_EVENT_BYTES
-        ? { blocks, fault: { responseFault: 'tooLong', areEarlierInDoubt: false } }
-        : { blocks };
+      return lastNumberRead !== undefined &&
+        lastRelayed !== undefined &&
+        lastNumberRead < lastRelayed
+        ? { responseFault: 'endsTooEarly', areEarlierInDoubt: false }
+        : undefined;
     },
-    countIncompleteBytes: splitter.countIncompleteBytes,
   };
 };
--- a/packages/router/src/requests/eventSplitter.ts
+++ b/packages/router/src/requests/eventSplitter.ts
@@ -6,4 +6,6 @@
   readonly push: (bytes: Buffer) => readonly SplitBlock[];
   /** Length of the block that has begun and is not complete, in bytes. */
   readonly countIncompleteBytes: () => number;
+  /** Whether the block that has begun is more than comments and line ends. */
+  readonly hasIncompleteEvent: () => boolean;
 }
--- a/packages/router/tests/foreignBytes.test.ts
+++ b/packages/router/tests/foreignBytes.test.ts
@@ -104,6 +104,21 @@
   );
 });
 
+describe('an event that looks sound, read together with other foreign bytes', () => {
+  // Guards against ORDER: it was relayed though the rest of what was read showed that its target sends garbage.
+  it('is not relayed; another target goes on before it', async () => {
+    const outcome = await playSpoiltStream({
+      route: 'resumableStream',
+      foreignBytes: 'id: 6\ndata: foreign\n\ngarbage\n\n',
+      eventsBefore: 5,
+      framing: 'chunks',
+      contentType: EVENT_STREAM,
+      isResetBehind: false,
+    });
+    expect(outcome).toMatchObject({ isComplete: true, body: WHOLE_STREAM, sends: 2 });
+  });
+});
+
 describe('an event with the number of a sound one', () => {
   const MADE_UP = {
     route: 'resumableStream',
--- a/packages/routing/src/responseFault.ts
+++ b/packages/routing/src/responseFault.ts
@@ -11,6 +11,10 @@
     | 'numberTaken'
     /** A stream ended without an event. */
     | 'noEvents'
+    /** A stream ended before the last event that the caller has. */
+    | 'endsTooEarly'
+    /** A response without events is to continue a stream. */
+    | 'noStream'
     | 'tooLong'
     /** The response names another request. */
     | 'namesAnother'
