--- a/packages/operator/src/explain/describeFailedSend.ts
+++ b/packages/operator/src/explain/describeFailedSend.ts
@@ -24,18 +24,21 @@
   namesAnother: 'a response that names another request',
   namesNone: 'a response that names no request',
 };
-/** Faults of a head, which has no event. */
-const HEAD_FAULTS: ReadonlySet<string> = new Set(['namesAnother', 'namesNone']);
-
 const describeFault = (failed: ParsedLogLine): string => {
   const fault = getTextField(failed, 'responseFault');
   if (fault === '-') {
     return '';
   }
-  const description = FAULT_DESCRIPTIONS[fault] ?? fault;
-  return HEAD_FAULTS.has(fault)
-    ? ` (${description})`
-    : ` (${description}: id ${JSON.stringify(getTextField(failed, 'eventId'))} after ${JSON.stringify(getTextField(failed, 'lastEventId'))})`;
+  const details = [
+    FAULT_DESCRIPTIONS[fault] ?? fault,
+    ...(failed.eventId === undefined
+      ? []
+      : [`id ${JSON.stringify(getTextField(failed, 'eventId'))}`]),
+    ...(failed.lastEventId === undefined
+      ? []
+      : [`the caller had up to ${JSON.stringify(getTextField(failed, 'lastEventId'))}`]),
+  ];
+  return ` (${details.join('; ')})`;
 };
 
 const describeSimilarFailures = (similarFailures: readonly ParsedLogLine[]): string => {
--- a/packages/router/src/requests/createEventOrder.ts
+++ b/packages/router/src/requests/createEventOrder.ts
@@ -37,6 +37,7 @@
   };
 
   return (id) => {
+    // A number below the first one is out of place, not missing.
     const number = parseEventNumber(id, 0);
     if (number === undefined) {
       return isNumbered || lastNumber !== undefined ? 'noNumber' : 'next';
--- a/packages/routing/src/observations/observedFields.ts
+++ b/packages/routing/src/observations/observedFields.ts
@@ -44,7 +44,7 @@
   },
   lastEventId: {
     type: 'string',
-    text: 'id of the last event that the caller had received, shortened; another target goes on behind it',
+    text: 'id of the last event that the caller had received, shortened',
   },
   leftMs: { type: 'number', text: 'milliseconds until the deadline' },
   limitPerSecond: {
