--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -3,49 +3,36 @@
 import { createRecord } from '../support-2/createRecord.mjs';
 import { BOUNDS, findFreePort, newHostAddress, startRouter } from '../support-2/startRouter.mjs';
 import { sendRequest } from '../support-2/sendRequest.mjs';
+import { startProxy } from '../support-2/startProxy.mjs';
 import { startStore } from '../support-2/startStore.mjs';
 import { startWorker } from '../support-2/startWorker.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-/** Requests within this time of a bound don't count. */
+/** How long the store turns one of the three machines away. */
+const TURNED_AWAY_MS = 8_500;
+/** Requests within this time of the bound don't count. */
 const MARGIN_MS = 100;
 const HEARTBEAT_MS = 1200;
-const WORK_MS = 200;
-const SEND_INTERVAL_MS = 15;
-/** Besides the one that leaves. */
-const OTHER_WORKERS = [
-  'i-stays-1',
-  'i-stays-2',
-  'i-stays-3',
-  'i-stays-4',
-  'i-stays-5',
-  'i-stays-6',
-];
-/** How long the worker is cut off from the store. */
-const CUT_MS = 2_500;
-/** When the call that got no response is executed, after it was sent. */
-const EXECUTED_AFTER_MS = 5_000;
-/** How long the worker that drains goes on serving: `drainMs` and a little longer. */
-const SERVES_ON_MS = BOUNDS.drainMs + 1_500;
+const SEND_INTERVAL_MS = 100;
 const HOST = 'case.example';
-const KEY = 'key-of-the-tenant';
+const TENANT = 'tenant-a';
+const WITHDRAWN_KEY = 'key-that-is-withdrawn';
+const KEPT_KEY = 'key-that-is-kept';
 
-const CONFIGURATION = {
-  version: 3,
-  routes: [
-    {
-      name: 'notes',
-      host: HOST,
-      pathPrefix: '/notes/',
-      kind: 'non_idempotent',
-      timeoutMs: 1200,
-      targetLatencyMs: 400,
-      priority: 0,
-      service: 'register',
-      maxAttempts: 1,
-      allowAnonymous: false,
-    },
-  ],
+const newConfiguration = (version, apiKeys) => ({
+  version,
+  routes: ['open', 'closed'].map((name) => ({
+    name,
+    host: HOST,
+    pathPrefix: `/${name}/`,
+    kind: 'non_idempotent',
+    timeoutMs: 1200,
+    targetLatencyMs: 400,
+    priority: 0,
+    service: 'register',
+    maxAttempts: 1,
+    allowAnonymous: name === 'open',
+  })),
   services: [{ name: 'register', healthPath: '/healthz', maxConnections: 100 }],
   limits: {
     maxHeaderBytes: 16384,
@@ -53,8 +40,8 @@
     headerTimeoutMs: 3000,
     idleTimeoutMs: 15000,
   },
-  tenants: [{ name: 'tenant-a', apiKeys: [KEY], priority: 1 }],
-};
+  tenants: [{ name: TENANT, apiKeys, priority: 1 }],
+});
 
 const record = createRecord(import.meta.url);
 const runs = new Map();
@@ -64,166 +51,127 @@
 const play = async () => {
   const store = await startStore();
   cleanUps.push(store.close);
-  const bornMs = Date.now();
-  const startBeating = async (id) => {
-    const worker = await startWorker({
-      id,
-      workMs: WORK_MS,
-      reportRun: (run) => {
-        runs.set(run.attemptId, run);
-      },
+  const proxy = await startProxy(store.port);
+  cleanUps.push(proxy.close);
+  const worker = await startWorker({
+    id: 'i-worker',
+    workMs: 20,
+    reportRun: (run) => {
+      runs.set(run.attemptId, run);
+    },
+  });
+  cleanUps.push(worker.exit);
+  let sequence = 0;
+  const beat = () => {
+    sequence += 1;
+    store.put('keyed.servers', worker.id, {
+      service: 'register',
+      address: `127.0.0.1:${worker.port}`,
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      coldRemainingMs: 0,
+      sequence,
     });
-    cleanUps.push(worker.exit);
-    let sequence = 0;
-    let state = 'ready';
-    let isCutOff = false;
-    let hasGone = false;
-    let isCallUnderWay = false;
-    const beat = () => {
-      sequence += 1;
-      const entry = {
-        service: 'register',
-        address: `127.0.0.1:${worker.port}`,
-        zone: 'zone-a',
-        version: 'v1',
-        slots: 8,
-        state,
-        coldRemainingMs: 0,
-        born: bornMs,
-        sequence,
-      };
-      if (!isCutOff) {
-        store.put('keyed.servers', id, entry);
-        return;
-      }
-      // The first call of the cut gets no response and is executed seconds later; the others aren't made meanwhile.
-      if (isCallUnderWay) {
-        sequence -= 1;
-        return;
-      }
-      isCallUnderWay = true;
-      record.add(`${id} writes ${state}, sequence ${entry.sequence}, and gets no response`);
-      const timer = setTimeout(() => {
-        if (!hasGone) {
-          store.put('keyed.servers', id, entry);
-          record.add(`the call with ${entry.state}, sequence ${entry.sequence}, is executed late`);
-        }
-      }, EXECUTED_AFTER_MS);
-      cleanUps.push(() => clearTimeout(timer));
-    };
-    beat();
-    let timer = setInterval(beat, HEARTBEAT_MS);
-    cleanUps.push(() => clearInterval(timer));
-    return {
-      beat,
-      setCutOff: (isCut) => {
-        isCutOff = isCut;
-      },
-      startDraining: () => {
-        state = 'draining';
-        beat();
-        clearInterval(timer);
-        timer = setInterval(beat, HEARTBEAT_MS);
-        return sequence;
-      },
-      exit: () => {
-        hasGone = true;
-        clearInterval(timer);
-        store.remove('keyed.servers', id);
-        worker.exit();
-      },
-    };
   };
+  store.put('keyed.op', 'config', newConfiguration(3, [WITHDRAWN_KEY, KEPT_KEY]));
+  beat();
+  const beats = setInterval(beat, HEARTBEAT_MS);
+  cleanUps.push(() => clearInterval(beats));
 
-  store.put('keyed.op', 'config', CONFIGURATION);
-  const leaving = await startBeating('i-leaves');
-  for (const id of OTHER_WORKERS) {
-    await startBeating(id);
+  const peerPort = await findFreePort('127.0.0.1');
+  const ips = [newHostAddress(), newHostAddress(), newHostAddress()];
+  const routers = [];
+  for (const [index, ip] of ips.entries()) {
+    const router = await startRouter({
+      host: `front-${index + 1}`,
+      ip,
+      // The first machine reaches the store through the proxy.
+      storePort: index === 0 ? proxy.port : store.port,
+      peerPort,
+      seeds: ips.map((seed) => `${seed}:1`),
+    });
+    routers.push(router);
+    cleanUps.push(router.stop);
   }
-  const router = await startRouter({
-    host: 'front-1',
-    ip: newHostAddress(),
-    storePort: store.port,
-    peerPort: await findFreePort('127.0.0.1'),
-  });
-  cleanUps.push(router.stop);
   const agent = new Agent({ keepAlive: true });
   cleanUps.push(() => agent.destroy());
   const pending = new Set();
-  const sender = setInterval(() => {
+  const send = (router, name, key) => {
     const sent = sendRequest({
       router,
       agent,
       host: HOST,
-      path: '/notes/1',
-      headers: { 'api-key': KEY, 'x-deadline-ms': '2500' },
+      path: `/${name}/1`,
+      headers: { 'x-deadline-ms': '2500', ...(key === undefined ? {} : { 'api-key': key }) },
       body: 'a note',
     }).then((answer) => {
       pending.delete(sent);
-      answers.push(answer);
+      answers.push({ ...answer, router: router.host, route: name, key });
     });
     pending.add(sent);
+  };
+  const sender = setInterval(() => {
+    routers.forEach((router) => {
+      send(router, 'open', WITHDRAWN_KEY);
+      send(router, 'closed', WITHDRAWN_KEY);
+      send(router, 'open', undefined);
+    });
   }, SEND_INTERVAL_MS);
   cleanUps.push(() => clearInterval(sender));
   record.add('traffic starts');
 
   await sleep(4_000);
   if (HAS_TROUBLE) {
-    leaving.setCutOff(true);
-    record.add('i-leaves is cut off from the store');
-    leaving.beat();
+    proxy.turnAway(true);
+    record.add('the store turns front-1 away and serves the others');
   }
-  await sleep(CUT_MS);
-  leaving.setCutOff(false);
-  record.add('i-leaves reaches the store again');
-  const sequence = leaving.startDraining();
+  const turnedAwayAtMs = performance.now();
+  await sleep(200);
+  store.put('keyed.op', 'config', newConfiguration(5, [KEPT_KEY]));
   const acknowledgedAtMs = performance.now();
-  record.add(`i-leaves reports draining, sequence ${sequence}, which the store has acknowledged`);
-  await sleep(SERVES_ON_MS);
-  leaving.exit();
-  const exitedAtMs = performance.now();
-  record.add('i-leaves exits and its entry is removed');
-  await sleep(2_000);
+  record.add(`version 5 without the key ${WITHDRAWN_KEY} is acknowledged by the store`);
+  await sleep(turnedAwayAtMs + TURNED_AWAY_MS - performance.now());
+  proxy.turnAway(false);
+  record.add('the store serves front-1 again');
+  await sleep(3_000);
   clearInterval(sender);
   await Promise.race([Promise.all(pending), sleep(3_000)]);
-  return { acknowledgedAtMs, exitedAtMs };
+  return acknowledgedAtMs;
 };
 
-const judge = ({ acknowledgedAtMs, exitedAtMs }) => {
-  const boundMs = acknowledgedAtMs + BOUNDS.drainMs + MARGIN_MS;
-  const answersById = new Map(answers.map((answer) => [answer.attemptId, answer]));
-  answers.forEach(({ attemptId, sentAtMs, endedAtMs, status, error }) => {
-    const run = runs.get(attemptId);
-    record.add(`${attemptId} sent`, sentAtMs);
-    record.add(`${attemptId} answered ${status ?? error}`, endedAtMs);
+const judge = (acknowledgedAtMs) => {
+  const boundMs = acknowledgedAtMs + BOUNDS.revokeMs + MARGIN_MS;
+  const seen = answers.map((answer) => {
+    const run = runs.get(answer.attemptId);
+    const tenant = run?.headers['x-tenant'];
+    const what = `${answer.attemptId} ${answer.router} /${answer.route}/ ${answer.key ?? 'no key'}`;
+    record.add(`${what} sent`, answer.sentAtMs);
+    record.add(`${what} answered ${answer.status ?? answer.error}`, answer.endedAtMs);
     if (run !== undefined) {
-      record.add(`${attemptId} runs at ${run.worker}`, run.arrivedAtMs);
+      record.add(`${what} runs with X-Tenant ${tenant ?? '(none)'}`, run.arrivedAtMs);
     }
+    return { ...answer, hasRun: run !== undefined, tenant };
   });
-  const late = [...runs.values()].filter(
-    ({ worker, arrivedAtMs, attemptId }) =>
-      worker === 'i-leaves' &&
-      arrivedAtMs > boundMs &&
-      (answersById.get(attemptId)?.sentAtMs ?? 0) > boundMs,
+  const withdrawn = seen.filter(({ key }) => key === WITHDRAWN_KEY);
+  const late = withdrawn.filter(({ sentAtMs }) => sentAtMs > boundMs);
+  const broken = late.filter(({ hasRun, tenant }) => hasRun && tenant !== undefined);
+  const before = withdrawn.filter(
+    ({ sentAtMs, tenant }) => sentAtMs < acknowledgedAtMs && tenant === TENANT,
   );
-  const lost = late.filter(({ attemptId }) => answersById.get(attemptId)?.status !== 200);
-  const before = [...runs.values()].filter(
-    ({ worker, arrivedAtMs }) => worker === 'i-leaves' && arrivedAtMs < acknowledgedAtMs,
-  ).length;
-  const inDrain = [...runs.values()].filter(
-    ({ worker, arrivedAtMs }) =>
-      worker === 'i-leaves' && arrivedAtMs > acknowledgedAtMs + 1_500 && arrivedAtMs <= boundMs,
-  ).length;
+  const countBroken = (route) => broken.filter((one) => one.route === route).length;
   const summary =
-    `${answers.length} requests; i-leaves ran ${before} before it drained and ${inDrain} from 1.5 s after until the bound; ` +
-    `${late.length} sent later than drainMs after the acknowledgement reached it, and ${lost.length} of these were lost as it exited ` +
-    `${Math.round(exitedAtMs - acknowledgedAtMs)} ms after the acknowledgement`;
-  record.add(summary);
+    `${withdrawn.length} requests with the key, ${before.length} ran for ${TENANT} before it was withdrawn; ` +
+    `${late.length} sent later than revokeMs after the acknowledgement, of which ${broken.length} ran with X-Tenant ${TENANT}, ` +
+    `which no longer holds the key (/open/: ${countBroken('open')}, /closed/: ${countBroken('closed')}; ` +
+    `at ${[...new Set(broken.map(({ router }) => router))].join(', ') || 'no machine'})`;
+  record.add(summary, performance.now());
   console.log(summary);
-  if (before < 20) {
+  if (before.length < 10 || late.length < 10) {
     return 2;
   }
-  return late.length > 0 ? 1 : 0;
+  return broken.length > 0 ? 1 : 0;
 };
 
 let exitCode = 2;
--- a/review/support-2/startRouter.mjs
+++ b/review/support-2/startRouter.mjs
@@ -9,8 +9,8 @@
 const ROOT = new URL('../../', import.meta.url);
 const READY_WITHIN_MS = 15_000;
 
-/** The values of a small deployment's settings, as in the example of the deploy page. */
-const BOUNDS = {
+/** The bounds of a small deployment, as in the example of the deploy page. */
+export const BOUNDS = {
   drainMs: 2000,
   graceS: 8,
   revokeMs: 5000,
@@ -22,7 +22,16 @@
   quotaSlack: 140000,
 };
 
-const findFreePort = (host) =>
+const children = new Set();
+process.on('exit', () => {
+  children.forEach((child) => child.kill('SIGKILL'));
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+  process.on(signal, () => process.exit(2));
+}
+
+/** Finds a port that is free now. */
+export const findFreePort = (host) =>
   new Promise((resolve, reject) => {
     const server = createServer();
     server.once('error', reject);
@@ -106,11 +115,13 @@
       stdio: ['ignore', 'pipe', 'inherit'],
     },
   );
+  children.add(child);
   child.stdout.on('data', (bytes) => output?.(bytes));
   const exited = new Promise((resolve) => child.once('exit', resolve));
   const stop = async () => {
     child.kill('SIGKILL');
     await exited;
+    children.delete(child);
     rmSync(folder, { recursive: true, force: true });
   };
   const startedAtMs = performance.now();
@@ -123,5 +134,3 @@
   }
   return { host, ip, callersPort, child, stop };
 };
-
-export { BOUNDS, findFreePort };
