Review: the entry of case 6 is nested deeper, so that other machines show it too

Tried: 20,000 arrays in one another (40 KB) in place of 2,000, since how deep is too deep may differ by processor (review/6/run.sh).

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -15,8 +15,8 @@
 const MACHINES = 2;
 /** How long the worker that drains goes on serving: `drainMs` and a little longer. */
 const SERVES_ON_MS = BOUNDS.drainMs + 2_000;
-/** The other writer's entry is about 4 KB; the store takes records of up to 262,144 bytes. */
-const NESTED_ARRAYS = 2_000;
+/** The other writer's entry is about 40 KB; the store takes records of up to 262,144 bytes. */
+const NESTED_ARRAYS = 20_000;
 const HOST = 'case.example';
 const KEY = 'key-of-the-tenant';
 
@@ -138,11 +138,8 @@
   // All machines have run calmly for longer than the stable window.
   await sleep(4_000);
   if (HAS_TROUBLE) {
-    let value = 0;
-    for (let depth = 0; depth < NESTED_ARRAYS; depth += 1) {
-      value = [value];
-    }
-    store.put('keyed.servers', 'i-of-another-writer', { service: value });
+    const value = `${'['.repeat(NESTED_ARRAYS)}${']'.repeat(NESTED_ARRAYS)}`;
+    store.putText('keyed.servers', 'i-of-another-writer', `{"service":${value}}`);
     record.add('another writer puts an entry whose `service` is an array, not a string');
   }
   const releases = [];
--- a/review/support-2/startStore.mjs
+++ b/review/support-2/startStore.mjs
@@ -130,6 +130,10 @@
     put: (topic, key, document) => {
       append(topic, [{ key, value: Buffer.from(JSON.stringify(document)) }]);
     },
+    /** Writes one record whose value is this text. */
+    putText: (topic, key, text) => {
+      append(topic, [{ key, value: Buffer.from(text) }]);
+    },
     /** Deletes the record of a key. */
     remove: (topic, key) => {
       append(topic, [{ key, value: Buffer.alloc(0) }]);
