Callers: a refused connection is released with its descriptor

Cause: the 17th request behind a refusal resets the connection, whose side had been ended with the refusal.

Change: a connection whose side has ended is closed in order; only others are reset.

--- a/packages/router/src/callers/addLateRequest.ts
+++ b/packages/router/src/callers/addLateRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerObserver } from './callerObserver.js';
+import { resetConnection } from './resetConnection.js';
 import { stopParsing } from './stopParsing.js';
 import type { TrackedConnection } from './trackedConnection.js';
 
@@ -22,8 +23,5 @@
     return;
   }
   stopParsing(socket);
-  // A response without a length that is still being written must not look complete.
-  socket.resetAndDestroy();
-  // The reset alone would wait until everything is written out.
-  socket.destroy();
+  resetConnection(socket);
 };
--- a/packages/router/tests/callers/createCallersServer.test.ts
+++ b/packages/router/tests/callers/createCallersServer.test.ts
@@ -16,17 +16,20 @@
 
 const startServer = async (
   handle: (request: IncomingMessage, response: ServerResponse) => void,
-  options: Partial<ReturnType<typeof createTestLimits>> = {},
+  options: Partial<ReturnType<typeof createTestLimits>> & {
+    readonly recordConnection?: (socket: Socket) => void;
+  } = {},
 ) => {
   const server = createCallersServer({
     ...createTestLimits(),
+    recordConnection: () => undefined,
     ...options,
     handle,
-    recordConnection: () => undefined,
   });
   const [host = '', port = ''] = (await server.listen('127.0.0.1:0')).split(':');
-  const open = (text: string): Socket => {
-    const socket = connect({ host, port: Number(port) });
+  const open = (text: string, { allowHalfOpen = false } = {}): Socket => {
+    const socket = connect({ host, port: Number(port), allowHalfOpen });
+    socket.on('error', () => undefined);
     socket.write(text);
     return socket;
   };
@@ -63,6 +66,19 @@
   expect(discarded).toBe(2);
 });
 
+// Guards against a descriptor that stays behind for ever: a connection whose side has ended cannot be reset.
+test('a refused connection with many requests behind it is released', async () => {
+  const closed: Promise<unknown>[] = [];
+  await using server = await startServer(() => undefined, {
+    recordConnection: (socket) => closed.push(once(socket, 'close')),
+  });
+  const caller = server.open('GET / HTTP/1.1\r\n\r\n'.repeat(REQUESTS), { allowHalfOpen: true });
+  await once(caller.resume(), 'end');
+  const timeout = new Promise((resolve) => setTimeout(resolve, MAX_WAIT_MS, 'open'));
+  expect(await Promise.race([...closed, timeout])).not.toBe('open');
+  caller.destroy();
+});
+
 // Guards against a request without a Host that is served because it expects to be asked for its body.
 test('a request that expects 100-continue needs a Host too', async () => {
   await using server = await startServer((_, response) => {
