Callers: header lines beyond 2,000 are no longer left out, and maxHeaderBytes holds

What callers saw: of a request with more than 2,000 header lines, all inside maxHeaderBytes, the rest was left out without a word; with Host or the key behind them it got 400 or 401. maxHeaderBytes itself was not enforced.

Cause: the HTTP server keeps 2,000 lines by default, and nothing else limited the headers below the 64 KiB of the parser.

Change: the number of lines is not limited, their size is: headers over maxHeaderBytes (default 16,384 bytes, without the first line) get 431, which no caller inside the limits meets.

Evidence: both new tests fail on (400 in place of 200; 200 in place of 431). The crowd tests state 65,536 bytes in their settings, so that their large heads are still taken in.

--- a/packages/daemon/src/settings/routingDocumentSchema.ts
+++ b/packages/daemon/src/settings/routingDocumentSchema.ts
@@ -80,7 +80,7 @@
 const limits = z.strictObject({
   maxHeaderBytes: count
     .default(DEFAULT_MAX_HEADER_BYTES)
-    .describe('Maximum size of the headers of a request; not enforced yet'),
+    .describe('Maximum size of the headers of a request, in bytes; beyond it the response is 431'),
   maxBodyBytes: count
     .default(DEFAULT_MAX_BODY_BYTES)
     .describe('Maximum size of the body of a request'),
--- a/packages/router/src/callers/callerDismissal.ts
+++ b/packages/router/src/callers/callerDismissal.ts
@@ -3,6 +3,7 @@
   | 'bodyTooLarge'
   | 'bodyTooSlow'
   | 'headTooSlow'
+  | 'headersTooLarge'
   | 'memoryShort'
   | 'tooManyConnections'
   | 'noHost'
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -6,6 +6,7 @@
 import type { MemoryBudget } from '../memory/memoryBudget.js';
 import type { CallerObserver } from './callerObserver.js';
 import type { CallersServer } from './callersServer.js';
+import { countHeaderBytes } from './countHeaderBytes.js';
 import { createConnectionTracker } from './createConnectionTracker.js';
 import type { CallerDismissal } from './callerDismissal.js';
 import { dismissCaller } from './dismissCaller.js';
@@ -20,6 +21,7 @@
 export const createCallersServer = ({
   handle,
   recordConnection,
+  getMaxHeaderBytes,
   getMaxBodyBytes,
   memory,
   limits,
@@ -27,6 +29,7 @@
 }: {
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
   readonly recordConnection: (socket: Socket) => void;
+  readonly getMaxHeaderBytes: () => number;
   readonly getMaxBodyBytes: () => number;
   readonly memory: MemoryBudget;
   readonly limits: CallerLimits;
@@ -41,17 +44,21 @@
   const refuse = (request: IncomingMessage, reason: CallerDismissal): void => {
     observer.reportDismissal(request, reason, dismissCaller(request.socket, reason));
   };
-  /** Refuses a request that has no Host and needs one. */
-  const hasHost = (request: IncomingMessage): boolean => {
-    if (request.httpVersion !== '1.1' || request.headers.host !== undefined) {
-      return true;
+  /** Refuses a request whose headers are too large, or that has no Host and needs one. */
+  const hasValidHeaders = (request: IncomingMessage): boolean => {
+    if (countHeaderBytes(request) > getMaxHeaderBytes()) {
+      refuse(request, 'headersTooLarge');
+      return false;
     }
-    refuse(request, 'noHost');
-    return false;
+    if (request.httpVersion === '1.1' && request.headers.host === undefined) {
+      refuse(request, 'noHost');
+      return false;
+    }
+    return true;
   };
   const addRequest = (request: IncomingMessage, response: ServerResponse): void => {
     connections.addRequest(request, response, () => {
-      if (hasHost(request)) {
+      if (hasValidHeaders(request)) {
         handle(request, response);
       }
     });
@@ -69,9 +76,11 @@
     },
     addRequest,
   );
+  // Lines beyond the default number would be left out of the request; the size of the head limits them.
+  server.maxHeadersCount = 0;
   server.on('checkContinue', (request, response) => {
     connections.addRequest(request, response, () => {
-      if (!hasHost(request)) {
+      if (!hasValidHeaders(request)) {
         return;
       }
       if (Number(request.headers['content-length'] ?? 0) <= getMaxBodyBytes()) {
--- a/packages/router/src/callers/dismissCaller.ts
+++ b/packages/router/src/callers/dismissCaller.ts
@@ -7,6 +7,7 @@
   bodyTooLarge: 413,
   bodyTooSlow: 408,
   headTooSlow: 408,
+  headersTooLarge: 431,
   memoryShort: 503,
   tooManyConnections: 503,
   noHost: 400,
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -21,6 +21,7 @@
 import { createTrafficCounter } from '../traffic/createTrafficCounter.js';
 import { createGracefulShutdown } from './createGracefulShutdown.js';
 import { getMaxBodyBytes } from './getMaxBodyBytes.js';
+import { getMaxHeaderBytes } from './getMaxHeaderBytes.js';
 import { getClocks } from './getClocks.js';
 import { createRouterInputs } from './createRouterInputs.js';
 import { createRoutingSettings } from './createRoutingSettings.js';
@@ -141,6 +142,7 @@
   const callers = createCallersServer({
     handle: handleRequest,
     recordConnection: readDelayMonitor.recordConnection,
+    getMaxHeaderBytes: () => getMaxHeaderBytes(getState()),
     getMaxBodyBytes: readMaxBodyBytes,
     memory,
     limits,
--- a/packages/router/tests/callers/createCallersServer.test.ts
+++ b/packages/router/tests/callers/createCallersServer.test.ts
@@ -92,6 +92,31 @@
   socket.destroy();
 });
 
+// Guards against header lines that are left out of the request without a word.
+test('a request with more header lines than the default of the parser is passed on whole', async () => {
+  const lines: number[] = [];
+  await using server = await startServer(({ rawHeaders }, response) => {
+    lines.push(rawHeaders.length / 2);
+    response.end();
+  });
+  const socket = server.open(`GET / HTTP/1.1\r\n${'a:\r\n'.repeat(3_000)}Host: a\r\n\r\n`);
+  const [received] = (await once(socket, 'data')) as [Buffer];
+  expect(received.toString()).toMatch(/^HTTP\/1\.1 200 /);
+  expect(lines).toEqual([3_001]);
+  socket.destroy();
+});
+
+// Guards against headers over the limit that the operator has set.
+test('a request with headers over the limit is refused', async () => {
+  await using server = await startServer((_, response) => {
+    response.end();
+  });
+  const socket = server.open(`GET / HTTP/1.1\r\nHost: a\r\nX-Large: ${'x'.repeat(16_384)}\r\n\r\n`);
+  const [received] = (await once(socket, 'data')) as [Buffer];
+  expect(received.toString()).toMatch(/^HTTP\/1\.1 431 /);
+  socket.destroy();
+});
+
 // Guards against a caller that reads nothing and keeps its connection by sending a few bytes now and then.
 test('a caller that sends bytes and reads nothing is disconnected', async () => {
   const { limits, observer } = createTestLimits();
--- a/packages/router/tests/support/createTestLimits.ts
+++ b/packages/router/tests/support/createTestLimits.ts
@@ -5,15 +5,18 @@
 import type { MemoryBudget } from '../../src/memory/memoryBudget.js';
 
 const LIMIT_BYTES = 10_000_000;
+const MAX_HEADER_BYTES = 16_384;
 const MAX_BODY_BYTES = 1_000_000;
 
 /** Creates limits that no caller of a test exceeds. */
 export const createTestLimits = (): {
+  readonly getMaxHeaderBytes: () => number;
   readonly getMaxBodyBytes: () => number;
   readonly memory: MemoryBudget;
   readonly limits: CallerLimits;
   readonly observer: CallerObserver;
 } => ({
+  getMaxHeaderBytes: () => MAX_HEADER_BYTES,
   getMaxBodyBytes: () => MAX_BODY_BYTES,
   memory: createMemoryBudget({
     getLimitBytes: () => LIMIT_BYTES,
--- a/packages/router/tests/support/uncontrolledCallers/startRouterUnderLoad.ts
+++ b/packages/router/tests/support/uncontrolledCallers/startRouterUnderLoad.ts
@@ -11,6 +11,8 @@
 const MAIN_SCRIPT = fileURLToPath(new URL('../../../../daemon/dist/main.js', import.meta.url));
 const HEAP_OPTIONS = ['--max-old-space-size=64', '--max-semi-space-size=4'];
 const MAX_BODY_BYTES = 1_048_576;
+/** The largest head that the parser takes. */
+const MAX_HEADER_BYTES = 65_536;
 const BYTES_PER_KIB = 1_024;
 const SLOTS = 8;
 /** Longer than a test, so that no request ends because of its route. */
@@ -37,7 +39,7 @@
   targets: [
     { id: 'p1', service: 'portal', address: targetAddress, dataCentre: 'here', slots: SLOTS },
   ],
-  limits: { maxBodyBytes: MAX_BODY_BYTES },
+  limits: { maxBodyBytes: MAX_BODY_BYTES, maxHeaderBytes: MAX_HEADER_BYTES },
 });
 
 const createSettings = (routing: string): object => ({
