Callers: what they send is parsed in turns, so that small chunks hold nobody up

What callers saw: beside a crowd of bodies in chunks of one or eight bytes an ordinary request had no answer within its deadline of 10 s.

Cause: a chunk costs about as much processor time however small it is, and Node.js parses what it reads from a connection, block after block, before anything else has its turn. The budget counts bytes; time was not counted.

Change: what was read is handed to the parser in slices of 8 KiB. While that takes less than 20 ms in a turn of the event loop, nobody waits; beyond it the connections get a slice in turn, those that have caused the least work first, and targets, timers and other entries have theirs in between. About 1 MiB is read in one turn; the rest stays in the kernel. Bytes that wait are held in blocks of the pool and counted; a request that was parsed late counts as read late. Two new metrics show the crowd.

Evidence: both crowds of smallChunks.test.ts fail on (no response within 10 s) and pass now. A single body of the full size in chunks of one byte is served before and after.

--- a/packages/router/src/callers/checkConnections.ts
+++ b/packages/router/src/callers/checkConnections.ts
@@ -15,11 +15,16 @@
   nowMs: number,
   {
     observer,
+    countParsedBytes,
     unreadTimeoutMs,
-  }: { readonly observer: CallerObserver; readonly unreadTimeoutMs: number },
+  }: {
+    readonly observer: CallerObserver;
+    readonly countParsedBytes: (socket: Socket) => number;
+    readonly unreadTimeoutMs: number;
+  },
 ): void => {
   [...connections].forEach(([socket, connection]) => {
-    checkHead(socket, connection, nowMs, observer);
+    checkHead(socket, connection, { nowMs, parsedBytes: countParsedBytes(socket) }, observer);
     if (checkUnread(socket, connection, nowMs, unreadTimeoutMs) && !connection.isClosing) {
       connection.isClosing = true;
       observer.reportClosed('responseUnread', socket.writableLength);
--- a/packages/router/src/callers/checkHead.ts
+++ b/packages/router/src/callers/checkHead.ts
@@ -10,14 +10,14 @@
 export const checkHead = (
   socket: Socket,
   connection: TrackedConnection,
-  nowMs: number,
+  { nowMs, parsedBytes }: { readonly nowMs: number; readonly parsedBytes: number },
   observer: CallerObserver,
 ): void => {
-  const { account, bytesReadWhenIdle, hasBeenUsed, idleSinceMs, openRequests } = connection;
+  const { account, parsedBytesWhenIdle, hasBeenUsed, idleSinceMs, openRequests } = connection;
   if (openRequests.length > 0 || connection.isClosing || socket.writableEnded) {
     return;
   }
-  const headBytes = socket.bytesRead - bytesReadWhenIdle;
+  const headBytes = parsedBytes - parsedBytesWhenIdle;
   account.hold('head', headBytes);
   if (headBytes > 0) {
     connection.headSinceMs ??= nowMs;
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -4,6 +4,7 @@
 import { closeHttp, listenHttp, splitAddress } from '@parsleyhall/common';
 import type { CallerLimits } from '../memory/callerLimits.js';
 import type { MemoryBudget } from '../memory/memoryBudget.js';
+import type { PacedReading } from '../reading/pacedReading.js';
 import type { CallerObserver } from './callerObserver.js';
 import type { CallersServer } from './callersServer.js';
 import { countHeaderBytes } from './countHeaderBytes.js';
@@ -24,6 +25,7 @@
   getMaxHeaderBytes,
   getMaxBodyBytes,
   memory,
+  reading,
   limits,
   observer,
 }: {
@@ -32,6 +34,7 @@
   readonly getMaxHeaderBytes: () => number;
   readonly getMaxBodyBytes: () => number;
   readonly memory: MemoryBudget;
+  readonly reading: PacedReading;
   readonly limits: CallerLimits;
   readonly observer: CallerObserver;
 }): CallersServer => {
@@ -39,6 +42,7 @@
     memory,
     limits,
     observer,
+    countParsedBytes: (socket) => socket.bytesRead - reading.countUnparsedBytes(socket),
     getNowMs: () => performance.now(),
   });
   const refuse = (request: IncomingMessage, reason: CallerDismissal): void => {
@@ -100,6 +104,7 @@
   server.on('connection', (socket) => {
     connections.addConnection(socket);
     recordConnection(socket);
+    reading.addConnection(socket);
   });
   return {
     countOpenRequests: connections.countOpenRequests,
--- a/packages/router/src/callers/createConnectionTracker.ts
+++ b/packages/router/src/callers/createConnectionTracker.ts
@@ -30,11 +30,14 @@
   memory,
   limits,
   observer,
+  countParsedBytes,
   getNowMs,
 }: {
   readonly memory: MemoryBudget;
   readonly limits: CallerLimits;
   readonly observer: CallerObserver;
+  /** Bytes that were read from the connection and parsed. */
+  readonly countParsedBytes: (socket: Socket) => number;
   readonly getNowMs: () => number;
 }): ConnectionTracker => {
   const connections = new Map<Socket, TrackedConnection>();
@@ -44,7 +47,7 @@
     const { openRequests, account } = connection;
     openRequests.shift();
     connection.idleSinceMs = getNowMs();
-    connection.bytesReadWhenIdle = socket.bytesRead;
+    connection.parsedBytesWhenIdle = countParsedBytes(socket);
     delete connection.headSinceMs;
     account.setServing(false);
     account.hold('head', 0);
@@ -84,6 +87,7 @@
   const check = (): void => {
     checkConnections(connections, getNowMs(), {
       observer,
+      countParsedBytes,
       unreadTimeoutMs: limits.unreadTimeoutMs,
     });
   };
@@ -91,7 +95,7 @@
   const isIdle = (socket: Socket, connection: TrackedConnection): boolean =>
     connection.hasBeenUsed &&
     connection.openRequests.length === 0 &&
-    socket.bytesRead === connection.bytesReadWhenIdle &&
+    socket.bytesRead === connection.parsedBytesWhenIdle &&
     getNowMs() - connection.idleSinceMs >= MIN_IDLE_MS;
 
   return {
@@ -115,7 +119,7 @@
         hasBeenUsed: false,
         isClosing: false,
         idleSinceMs: getNowMs(),
-        bytesReadWhenIdle: 0,
+        parsedBytesWhenIdle: 0,
         lateRequests: 0,
       };
       connections.set(socket, connection);
--- a/packages/router/src/callers/createRequestHandler.ts
+++ b/packages/router/src/callers/createRequestHandler.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { HeaderCodec } from '../requests/headerCodec.js';
 import type { RequestTable } from '../requests/requestTable.js';
 import type { Logger } from '../logging/logger.js';
 import type { GracefulShutdown } from '../process/gracefulShutdown.js';
 import type { StartQueue } from '../reading/startQueue.js';
-import type { ReadDelayMonitor } from '../reading/readDelayMonitor.js';
 import type { CallerLimits } from '../memory/callerLimits.js';
 import type { MemoryBudget } from '../memory/memoryBudget.js';
 import { canRespond } from './canRespond.js';
@@ -24,7 +24,7 @@
   shutdown,
   logger,
   getMaxBodyBytes,
-  readDelayMonitor,
+  getEarliestArrivalAtMs,
   startQueue,
   memory,
   limits,
@@ -35,7 +35,8 @@
   readonly shutdown: GracefulShutdown;
   readonly logger: Logger;
   readonly getMaxBodyBytes: () => number;
-  readonly readDelayMonitor: ReadDelayMonitor;
+  /** The earliest moment at which what is being parsed now may have arrived, in milliseconds of the monotonic clock. */
+  readonly getEarliestArrivalAtMs: (socket: Socket) => number;
   readonly startQueue: StartQueue;
   readonly memory: MemoryBudget;
   readonly limits: CallerLimits;
@@ -64,7 +65,7 @@
 
   return (request, response) => {
     const readAtMs = performance.now();
-    const earliestArrivalAtMs = readDelayMonitor.getEarliestArrivalAtMs(request.socket);
+    const earliestArrivalAtMs = getEarliestArrivalAtMs(request.socket);
     const account = memory.getAccount(request.socket);
     readBody({
       request,
--- a/packages/router/src/callers/trackedConnection.ts
+++ b/packages/router/src/callers/trackedConnection.ts
@@ -21,7 +21,7 @@
   isClosing: boolean;
   idleSinceMs: number;
   /** Bytes beyond this count belong to the next request. */
-  bytesReadWhenIdle: number;
+  parsedBytesWhenIdle: number;
   /** When the first bytes of the next request were noticed; undefined if there are none. */
   headSinceMs?: number;
   /** Progress of writing when it was last noticed; undefined if everything is written out. */
--- a/packages/router/src/process/registerRouterGauges.ts
+++ b/packages/router/src/process/registerRouterGauges.ts
@@ -4,6 +4,7 @@
 import { getQuotasLeft, getRetryBudgetLeft } from '@parsleyhall/routing';
 import type { RolloutStatus, RoutingState } from '@parsleyhall/routing';
 import type { MemoryBudget } from '../memory/memoryBudget.js';
+import type { PacedReading } from '../reading/pacedReading.js';
 
 const EVENT_LOOP_RESOLUTION_MS = 20;
 const NANOSECONDS_PER_MS = 1_000_000;
@@ -18,7 +19,7 @@
 export const registerRouterGauges = (
   metrics: Metrics,
   getState: () => RoutingState,
-  memory: MemoryBudget,
+  { memory, reading }: { readonly memory: MemoryBudget; readonly reading: PacedReading },
 ): void => {
   const eventLoopDelay = monitorEventLoopDelay({ resolution: EVENT_LOOP_RESOLUTION_MS });
   eventLoopDelay.enable();
@@ -62,6 +63,7 @@
   });
   metrics.registerGauge('caller_memory_bytes', memory.countHeldBytes);
   metrics.registerGauge('caller_memory_limit_bytes', memory.getLimitBytes);
+  metrics.registerGauge('callers_connections_waiting', reading.countWaitingConnections);
   metrics.registerGauge('targets_limited', () =>
     getState().targetLimits.count(({ perSecond }) => perSecond !== undefined),
   );
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -17,6 +17,7 @@
 import { createRequestTable } from '../requests/createRequestTable.js';
 import type { Logger } from '../logging/logger.js';
 import { createStartQueue } from '../reading/createStartQueue.js';
+import { createPacedReading } from '../reading/createPacedReading.js';
 import { createReadDelayMonitor } from '../reading/createReadDelayMonitor.js';
 import { createTrafficCounter } from '../traffic/createTrafficCounter.js';
 import { createGracefulShutdown } from './createGracefulShutdown.js';
@@ -124,12 +125,22 @@
       logger.write({ name: 'loopStalled', fields: { stalledMs: Math.round(stalledMs) } });
     },
   });
+  const reading = createPacedReading({
+    getNowMs: () => performance.now(),
+    getEarliestArrivalAtMs: readDelayMonitor.getEarliestArrivalAtMs,
+    holdUnparsedBytes: (socket, bytes) => {
+      memory.getAccount(socket).hold('unparsed', bytes);
+    },
+    reportWait: (waitedMs) => {
+      metrics.recordMs('callers_bytes_waited_ms', {}, waitedMs);
+    },
+  });
   const handleRequest = createRequestHandler({
     codec,
     requests,
     shutdown,
     logger,
-    readDelayMonitor,
+    getEarliestArrivalAtMs: reading.getEarliestArrivalAtMs,
     startQueue: createStartQueue(readDelayMonitor, () => performance.now()),
     getMaxBodyBytes: readMaxBodyBytes,
     memory,
@@ -137,7 +148,7 @@
     observer,
   });
 
-  registerRouterGauges(metrics, getState, memory);
+  registerRouterGauges(metrics, getState, { memory, reading });
   const metricsServer = await startMetricsServer(settings.metricsAddress, metrics);
   const callers = createCallersServer({
     handle: handleRequest,
@@ -145,6 +156,7 @@
     getMaxHeaderBytes: () => getMaxHeaderBytes(getState()),
     getMaxBodyBytes: readMaxBodyBytes,
     memory,
+    reading,
     limits,
     observer,
   });
--- /dev/null
+++ b/packages/router/src/reading/readBlock.ts
@@ -0,0 +1,10 @@
+/** Bytes that were read at once. */
+export interface ReadBlock {
+  readonly bytes: Buffer;
+  /** Where the bytes are kept, if not in the buffer that they were read into. */
+  readonly storage?: Buffer;
+  /** The earliest moment at which they may have arrived, in milliseconds of the monotonic clock. */
+  readonly earliestArrivalAtMs: number;
+  /** When they were read, in milliseconds of the monotonic clock. */
+  readonly readAtMs: number;
+}
--- a/packages/router/tests/callers/checkHead.test.ts
+++ b/packages/router/tests/callers/checkHead.test.ts
@@ -11,28 +11,29 @@
   const dismissed: string[] = [];
   const socket = new Socket();
   socket.on('error', () => undefined);
-  let bytesRead = 100;
-  Object.defineProperty(socket, 'bytesRead', { get: () => bytesRead });
+  let parsedBytes = 100;
   const connection: TrackedConnection = {
     openRequests: [],
     account: memory.open(socket, () => undefined),
     hasBeenUsed,
     isClosing: false,
     idleSinceMs: 0,
-    bytesReadWhenIdle: 100,
+    parsedBytesWhenIdle: 100,
     lateRequests: 0,
   };
   return {
     memory,
     dismissed,
     receive: (bytes: number) => {
-      bytesRead += bytes;
+      parsedBytes += bytes;
     },
     checkAt: (nowMs: number) => {
-      checkHead(socket, connection, nowMs, {
-        ...observer,
-        reportDismissal: (_, reason) => dismissed.push(reason),
-      });
+      checkHead(
+        socket,
+        connection,
+        { nowMs, parsedBytes },
+        { ...observer, reportDismissal: (_, reason) => dismissed.push(reason) },
+      );
     },
   };
 };
--- a/packages/router/tests/callers/createRequestHandler.test.ts
+++ b/packages/router/tests/callers/createRequestHandler.test.ts
@@ -43,12 +43,7 @@
     },
     logger: silentLogger,
     getMaxBodyBytes,
-    readDelayMonitor: {
-      getEarliestArrivalAtMs: () => 0,
-      recordConnection: () => undefined,
-      recordTick: () => undefined,
-      hasAcceptBacklog: () => false,
-    },
+    getEarliestArrivalAtMs: () => 0,
     startQueue: {
       startOrEnqueue: ({ start }) => {
         start();
--- a/packages/router/tests/support/createTestLimits.ts
+++ b/packages/router/tests/support/createTestLimits.ts
@@ -3,6 +3,8 @@
 import { createMemoryBudget } from '../../src/memory/createMemoryBudget.js';
 import { DEFAULT_CALLER_LIMITS } from '../../src/memory/defaultCallerLimits.js';
 import type { MemoryBudget } from '../../src/memory/memoryBudget.js';
+import { createPacedReading } from '../../src/reading/createPacedReading.js';
+import type { PacedReading } from '../../src/reading/pacedReading.js';
 
 const LIMIT_BYTES = 10_000_000;
 const MAX_HEADER_BYTES = 16_384;
@@ -13,6 +15,7 @@
   readonly getMaxHeaderBytes: () => number;
   readonly getMaxBodyBytes: () => number;
   readonly memory: MemoryBudget;
+  readonly reading: PacedReading;
   readonly limits: CallerLimits;
   readonly observer: CallerObserver;
 } => ({
@@ -22,6 +25,12 @@
     getLimitBytes: () => LIMIT_BYTES,
     getNowMs: () => performance.now(),
   }),
+  reading: createPacedReading({
+    getNowMs: () => performance.now(),
+    getEarliestArrivalAtMs: () => performance.now(),
+    holdUnparsedBytes: () => undefined,
+    reportWait: () => undefined,
+  }),
   limits: DEFAULT_CALLER_LIMITS,
   observer: {
     reportDismissal: () => undefined,
--- a/packages/router/tests/support/uncontrolledCallers/playCrowd.ts
+++ b/packages/router/tests/support/uncontrolledCallers/playCrowd.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 
-/** So many callers connect at a time. */
+/** So many callers connect at a time, unless the crowd says otherwise. */
 const BATCH_SIZE = 20;
 /** After so long without a complete write, a router is taken to have stopped reading from a caller. */
 const WRITE_TIMEOUT_MS = 3_000;
@@ -50,11 +50,13 @@
     callers,
     parts,
     isReading,
+    batchSize = BATCH_SIZE,
   }: {
     readonly address: string;
     readonly callers: number;
     readonly parts: readonly Buffer[];
     readonly isReading: boolean;
+    readonly batchSize?: number;
   },
   check: (crowd: { readonly countOpen: () => number }) => Promise<void>,
 ): Promise<void> => {
@@ -76,8 +78,8 @@
       await write(socket, part);
     }
   };
-  for (let started = 0; started < callers; started += BATCH_SIZE) {
-    const batch = Math.min(BATCH_SIZE, callers - started);
+  for (let started = 0; started < callers; started += batchSize) {
+    const batch = Math.min(batchSize, callers - started);
     await Promise.all(Array.from({ length: batch }, play));
   }
   try {
--- a/packages/router/tests/support/uncontrolledCallers/startRouterUnderLoad.ts
+++ b/packages/router/tests/support/uncontrolledCallers/startRouterUnderLoad.ts
@@ -9,8 +9,8 @@
 import { startLargeTarget } from './startLargeTarget.js';
 
 const MAIN_SCRIPT = fileURLToPath(new URL('../../../../daemon/dist/main.js', import.meta.url));
-const HEAP_OPTIONS = ['--max-old-space-size=64', '--max-semi-space-size=4'];
-const MAX_BODY_BYTES = 1_048_576;
+const DEFAULT_HEAP_MIB = 64;
+const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 /** The largest head that the parser takes. */
 const MAX_HEADER_BYTES = 65_536;
 const BYTES_PER_KIB = 1_024;
@@ -18,7 +18,14 @@
 /** Longer than a test, so that no request ends because of its route. */
 const ROUTE_TIMEOUT_MS = 600_000;
 
-const createDocument = (targetAddress: string): object => ({
+/** The limits of callers that a test sets, as in the settings file. */
+interface CallerLimitSettings {
+  readonly hostMemoryMb?: number;
+  readonly bodyTimeoutMs?: number;
+  readonly unreadTimeoutMs?: number;
+}
+
+const createDocument = (targetAddress: string, maxBodyBytes: number): object => ({
   version: 1,
   routes: [
     {
@@ -39,10 +46,10 @@
   targets: [
     { id: 'p1', service: 'portal', address: targetAddress, dataCentre: 'here', slots: SLOTS },
   ],
-  limits: { maxBodyBytes: MAX_BODY_BYTES, maxHeaderBytes: MAX_HEADER_BYTES },
+  limits: { maxBodyBytes, maxHeaderBytes: MAX_HEADER_BYTES },
 });
 
-const createSettings = (routing: string): object => ({
+const createSettings = (routing: string, callerLimits: CallerLimitSettings): object => ({
   process: 'router-1',
   host: 'front-1',
   dataCentre: 'here',
@@ -51,7 +58,7 @@
   readinessAddress: '127.0.0.1:0',
   metricsAddress: '127.0.0.1:0',
   peers: { ip: '127.0.0.1', port: 0 },
-  callerLimits: { bodyTimeoutMs: 5_000, unreadTimeoutMs: 1_000 },
+  callerLimits: { bodyTimeoutMs: 5_000, unreadTimeoutMs: 1_000, ...callerLimits },
 });
 
 const readPeakMemoryBytes = (pid: number): number => {
@@ -60,16 +67,31 @@
 };
 
 /** Starts the router as a process with a small heap and a small limit of bodies, and a target for it. */
-export const startRouterUnderLoad = async (): Promise<RouterUnderLoad> => {
+export const startRouterUnderLoad = async ({
+  heapMib = DEFAULT_HEAP_MIB,
+  maxBodyBytes = DEFAULT_MAX_BODY_BYTES,
+  callerLimits = {},
+}: {
+  readonly heapMib?: number;
+  readonly maxBodyBytes?: number;
+  readonly callerLimits?: CallerLimitSettings;
+} = {}): Promise<RouterUnderLoad> => {
   const target = await startLargeTarget();
   const directory = mkdtempSync(join(tmpdir(), 'parsleyhall-callers-'));
   const settingsPath = join(directory, 'settings.json');
   const routingPath = join(directory, 'routing.json');
-  writeFileSync(routingPath, JSON.stringify(createDocument(target.address)));
-  writeFileSync(settingsPath, JSON.stringify(createSettings(routingPath)));
+  writeFileSync(routingPath, JSON.stringify(createDocument(target.address, maxBodyBytes)));
+  writeFileSync(settingsPath, JSON.stringify(createSettings(routingPath, callerLimits)));
   const child = spawn(
     process.execPath,
-    [...HEAP_OPTIONS, MAIN_SCRIPT, 'router', '--settings', settingsPath],
+    [
+      `--max-old-space-size=${heapMib}`,
+      '--max-semi-space-size=4',
+      MAIN_SCRIPT,
+      'router',
+      '--settings',
+      settingsPath,
+    ],
     { stdio: ['ignore', 'pipe', 'ignore'] },
   );
   const exited = once(child, 'exit');
