Callers: heads of many lines no longer end the process

What callers saw: a crowd of heads of 1,500 short lines (12 kB, inside the limits) with some requests ahead ended the process, heap out of memory.

Cause: a line takes some 110 bytes beyond its characters (two strings, their places in the array and the entry in the dictionary of headers; measured with 100, 1,500 and 4,000 lines), and 64 were counted. And the HTTP server keeps a request, head and all, until its connection is closed: the caller of a refused one may put that off for a second, and 16 requests behind it were kept too.

The heads of requests that are not served are released when their connection is refused or closed, and its parser leaves the rest alone.

--- a/packages/router/src/callers/addLateRequest.ts
+++ b/packages/router/src/callers/addLateRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { CallerObserver } from './callerObserver.js';
+import { releaseHead } from './releaseHead.js';
 import { resetConnection } from './resetConnection.js';
 import { stopParsing } from './stopParsing.js';
 import type { TrackedConnection } from './trackedConnection.js';
@@ -20,6 +21,7 @@
   connection.lateRequests += 1;
   if (connection.lateRequests <= MAX_LATE_REQUESTS) {
     observer.reportDiscarded(request);
+    releaseHead(request);
     return;
   }
   stopParsing(socket);
--- a/packages/router/src/callers/closeForLimit.ts
+++ b/packages/router/src/callers/closeForLimit.ts
@@ -2,6 +2,8 @@
 import { breakOffResponse } from './breakOffResponse.js';
 import type { CallerObserver } from './callerObserver.js';
 import { dismissCaller } from './dismissCaller.js';
+import { releaseRequests } from './releaseRequests.js';
+import { stopParsing } from './stopParsing.js';
 import type { TrackedConnection } from './trackedConnection.js';
 
 /** Closes a connection because of this limit. Its request is refused if it has certainly not run, else broken off. */
@@ -13,10 +15,12 @@
   reason: 'memoryShort' | 'tooManyConnections',
 ): void => {
   connection.isClosing = true;
+  stopParsing(socket);
   const [current] = connection.openRequests;
   if (current !== undefined && !isServing && !current.response.headersSent) {
     const status = dismissCaller(socket, reason);
     observer.reportDismissal(current.request, reason, status);
+    releaseRequests(connection);
     return;
   }
   observer.reportClosed(reason, bytes);
@@ -24,4 +28,5 @@
     breakOffResponse(current.response);
   }
   socket.destroy();
+  releaseRequests(connection);
 };
