Callers: complete bodies no longer grow the process past its host's memory

Cause: the budget counts what is held. The process also held each body twice while its blocks were joined, and left blocks, joined bodies and the buffers that they were read into to the garbage collector, which sees a few hundred bytes of heap for each 64 KiB and comes late; what was taken from the system by then stays with the process.

Change: bodies stay in blocks of the pool until their response is closed, and are written to the target part by part; the pool keeps its blocks; the buffer that bytes were read into is freed once nothing refers to it.

--- a/packages/router/src/callers/caller.ts
+++ b/packages/router/src/callers/caller.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { StoredBody } from '../memory/storedBody.js';
 import type { RequestHeaders } from '../requests/requestHeaders.js';
 
 /** A caller whose request was read completely and that waits for the response. */
@@ -7,5 +8,5 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly headers: RequestHeaders;
-  readonly body: Buffer;
+  readonly body: StoredBody;
 }
--- a/packages/router/src/callers/createRequestHandler.ts
+++ b/packages/router/src/callers/createRequestHandler.ts
@@ -76,7 +76,8 @@
         observer.reportDismissal(request, reason, dismissCaller(request.socket, reason));
       },
       handleBody: (body) => {
-        account.hold('body', body.length);
+        response.once('close', body.release);
+        account.hold('body', body.capacity);
         startQueue.startOrEnqueue({
           request,
           response,
@@ -89,7 +90,7 @@
             } else {
               account.hold('body', 0);
               account.hold('head', 0);
-              account.hold('request', body.length + countRequestBytes(request));
+              account.hold('request', body.capacity + countRequestBytes(request));
               // This connection itself may have been closed for lack of memory.
               if (!account.isOpen()) {
                 return;
--- a/packages/router/src/callers/readBody.ts
+++ b/packages/router/src/callers/readBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { MemoryAccount } from '../memory/memoryAccount.js';
 import { createByteCollector } from '../memory/createByteCollector.js';
+import type { StoredBody } from '../memory/storedBody.js';
 
 const getAnnouncedBytes = ({ headers }: IncomingMessage): number =>
   Number(headers['content-length'] ?? 0);
@@ -21,7 +22,8 @@
   readonly account: MemoryAccount;
   readonly maxBytes: number;
   readonly timeoutMs: number;
-  readonly handleBody: (body: Buffer) => void;
+  /** Gets the body, which has to be released when it is not needed any more. */
+  readonly handleBody: (body: StoredBody) => void;
   readonly handleFailure: (reason: 'bodyTooLarge' | 'bodyTooSlow') => void;
 }): void => {
   if (getAnnouncedBytes(request) > maxBytes) {
@@ -63,7 +65,7 @@
     if (isFinished) {
       return;
     }
-    const body = collector.take();
+    const body = collector.takeStored();
     finish();
     handleBody(body);
   });
--- a/packages/router/src/memory/byteCollector.ts
+++ b/packages/router/src/memory/byteCollector.ts
@@ -1,3 +1,5 @@
+import type { StoredBody } from './storedBody.js';
+
 /** Collects bytes that arrive in parts of any size. */
 export interface ByteCollector {
   readonly add: (bytes: Buffer) => void;
@@ -6,6 +8,8 @@
   readonly getLength: () => number;
   /** Returns everything that was collected, in one buffer, and starts anew. */
   readonly take: () => Buffer;
+  /** Returns everything that was collected without joining it, and starts anew. */
+  readonly takeStored: () => StoredBody;
   /** Releases everything that was collected. */
   readonly clear: () => void;
 }
--- a/packages/router/src/memory/createByteCollector.ts
+++ b/packages/router/src/memory/createByteCollector.ts
@@ -1,6 +1,8 @@
 import type { BlockPool } from './blockPool.js';
 import type { ByteCollector } from './byteCollector.js';
+import { createStoredBody } from './createStoredBody.js';
 import { sharedBlockPool } from './sharedBlockPool.js';
+import { toStoredBody } from './toStoredBody.js';
 
 const MIN_BLOCK_BYTES = 1_024;
 const EMPTY = Buffer.alloc(0);
@@ -29,14 +31,22 @@
     return block;
   };
 
-  const clear = (): void => {
-    blocks.filter((block) => block.length === pool.blockBytes).forEach(pool.release);
+  const release = (released: readonly Buffer[]): void => {
+    released.filter((block) => block.length === pool.blockBytes).forEach(pool.release);
+  };
+
+  const startAnew = (): void => {
     blocks = [];
     lastBlockLength = 0;
     capacity = 0;
     length = 0;
   };
 
+  const clear = (): void => {
+    release(blocks);
+    startAnew();
+  };
+
   /** Joins the blocks, each of which is filled before the next one is begun. */
   const join = (): Buffer => {
     const [first = EMPTY] = blocks;
@@ -67,6 +77,16 @@
       clear();
       return whole;
     },
+    takeStored: () => {
+      if (capacity < pool.blockBytes) {
+        const body = toStoredBody(join());
+        clear();
+        return body;
+      }
+      const body = createStoredBody(blocks, { length, capacity }, release);
+      startAnew();
+      return body;
+    },
     clear,
   };
 };
--- a/packages/router/src/reading/createPacedReading.ts
+++ b/packages/router/src/reading/createPacedReading.ts
@@ -4,9 +4,10 @@
 import { createWorkQueue } from './createWorkQueue.js';
 import type { PacedConnection } from './pacedConnection.js';
 import type { PacedReading } from './pacedReading.js';
+import { parseSlice } from './parseSlice.js';
 import { readThroughStream } from './readThroughStream.js';
+import { releaseBlock } from './releaseBlock.js';
 import { storeBlock } from './storeBlock.js';
-import { takeSlice } from './takeSlice.js';
 
 /** After so long, parsing goes on in the next turn of the event loop, so that everything else has its turn. */
 const MAX_PARSING_PER_TURN_MS = 20;
@@ -15,7 +16,7 @@
   blocks.length > 0 && socket.readableFlowing === true && !socket.destroyed;
 
 const countUnparsedBytes = ({ blocks }: PacedConnection): number =>
-  blocks.reduce((sum, { bytes }) => sum + bytes.length, 0);
+  blocks.reduce((sum, { bytes, parsedBytes }) => sum + bytes.length - parsedBytes, 0);
 
 const countHeldBytes = ({ blocks }: PacedConnection): number =>
   blocks.reduce((sum, { bytes, storage = bytes }) => sum + storage.length, 0);
@@ -50,11 +51,9 @@
     }
   };
 
-  const parseSlice = (connection: PacedConnection): void => {
+  const parse = (connection: PacedConnection): void => {
     const beganAtMs = getNowMs();
-    connection.current = connection.blocks[0];
-    connection.deliver(takeSlice(connection.blocks, sharedBlockPool));
-    connection.current = undefined;
+    parseSlice(connection);
     const workMs = getNowMs() - beganAtMs;
     connection.workMs += workMs;
     parsingMs += workMs;
@@ -87,7 +86,7 @@
     const [block] = connection.blocks;
     if (block !== undefined && isParsable(connection)) {
       reportWait(getNowMs() - block.readAtMs);
-      parseSlice(connection);
+      parse(connection);
     }
     settle(connection);
   };
@@ -114,16 +113,17 @@
   const parseOrWait = (connection: PacedConnection): void => {
     scheduleTurnEnd();
     while (queue.countWaiting() === 0 && hasTimeLeft() && isParsable(connection)) {
-      parseSlice(connection);
+      parse(connection);
     }
     settle(connection);
   };
 
   const discard = (connection: PacedConnection): void => {
     queue.remove(connection);
-    while (connection.blocks.length > 0) {
-      takeSlice(connection.blocks, sharedBlockPool);
-    }
+    connection.blocks.forEach((block) => {
+      releaseBlock(block, sharedBlockPool);
+    });
+    connection.blocks.length = 0;
     settle(connection);
   };
 
@@ -133,6 +133,8 @@
       bytes,
       earliestArrivalAtMs: getEarliestArrivalAtMs(connection.socket),
       readAtMs: getNowMs(),
+      parsedBytes: 0,
+      isReferenced: false,
     });
     gate.recordRead(bytes.length);
     parseOrWait(connection);
@@ -143,9 +145,10 @@
   };
 
   return {
-    addConnection: (socket) => {
+    addConnection: (socket, bodies) => {
       const connection: PacedConnection = {
         socket,
+        bodies,
         deliver: socket.push.bind(socket),
         read: socket._read.bind(socket, 0),
         blocks: [],
--- a/packages/router/src/reading/readBlock.ts
+++ b/packages/router/src/reading/readBlock.ts
@@ -1,10 +1,13 @@
 /** Bytes that were read at once. */
 export interface ReadBlock {
   readonly bytes: Buffer;
-  /** Where the bytes are kept, if not in the buffer that they were read into. */
+  /** The block of the pool that the bytes were moved to; undefined while they are in the buffer that they were read into. */
   readonly storage?: Buffer;
   /** The earliest moment at which they may have arrived, in milliseconds of the monotonic clock. */
   readonly earliestArrivalAtMs: number;
   /** When they were read, in milliseconds of the monotonic clock. */
   readonly readAtMs: number;
+  parsedBytes: number;
+  /** Whether what was parsed may still be referred to, so that the memory cannot be used otherwise. */
+  isReferenced: boolean;
 }
--- a/packages/router/src/requests/requestTable.ts
+++ b/packages/router/src/requests/requestTable.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Refusal, RoutingEffect } from '@parsleyhall/routing';
+import type { StoredBody } from '../memory/storedBody.js';
 
 /** The open requests of this process: those without a final response, with their callers' connections. */
 export interface RequestTable extends AsyncDisposable {
@@ -7,7 +8,7 @@
   readonly add: (received: {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
-    readonly body: Buffer;
+    readonly body: StoredBody;
     /** When its head was read, in milliseconds of the monotonic clock. */
     readonly readAtMs: number;
     /** The earliest moment at which it may have arrived, by the same clock. */
--- a/packages/router/src/targets/createTargetClient.ts
+++ b/packages/router/src/targets/createTargetClient.ts
@@ -1,5 +1,7 @@
+import { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import type { ResponseFault, SendFailure } from '@parsleyhall/routing';
+import type { StoredBody } from '../memory/storedBody.js';
 import type { ResponseSink } from './responseSink.js';
 import type { Exchange } from './exchange.js';
 import { hasConnectionClose } from './hasConnectionClose.js';
@@ -15,6 +17,14 @@
 const toError = (error: unknown): Error =>
   error instanceof Error ? error : new Error(String(error));
 
+/** Large bodies are written part by part, so that they need not be joined. */
+const toRequestBody = ({ length, whole, copyParts }: StoredBody): Buffer | Readable | null =>
+  length === 0 ? null : (whole ?? Readable.from(copyParts()));
+
+/** The client knows the length of a body that it gets whole. */
+const writeLength = ({ length, whole }: StoredBody): readonly string[] =>
+  whole === undefined ? ['Content-Length', String(length)] : [];
+
 /** Creates a client that prefers the idle connection that was used last. */
 export const createTargetClient = (): TargetClient => {
   const pool = createConnectionPool();
@@ -33,6 +43,7 @@
   ): Exchange => {
     const idle = needsOwnConnection ? undefined : pool.takeIdle(address);
     const connection = idle ?? pool.open(address);
+    const requestBody = toRequestBody(body);
     let controller: Dispatcher.DispatchController | undefined;
     let hasStarted = false;
     let isFinished = false;
@@ -44,6 +55,10 @@
     /** Part of the request was unwritten when the latest bytes of the response came. */
     let isBeingWritten = false;
 
+    const hasUnsentBytes = (): boolean =>
+      connection.hasUnsentBytes() ||
+      (requestBody instanceof Readable && !requestBody.readableEnded);
+
     const failAs = (failure: SendFailure, error: Error, fault?: ResponseFault): void => {
       if (isFinished) {
         return;
@@ -130,7 +145,7 @@
         connection.recordProgress();
         const hasHeaders = hasFramingHeaders(responseHeaders);
         hasFraming = hasHeaders || hasNoBody(method, status);
-        isEarly = connection.hasUnsentBytes();
+        isEarly = hasUnsentBytes();
         isBeingWritten = isEarly;
         canReuseConnection =
           hasHeaders && !isEarly && !needsOwnConnection && !hasConnectionClose(responseHeaders);
@@ -138,7 +153,7 @@
       },
       onResponseData: (startedController, chunk) => {
         connection.recordProgress();
-        isBeingWritten &&= connection.hasUnsentBytes();
+        isBeingWritten &&= hasUnsentBytes();
         if (!isFinished && !sink.handleBytes(chunk)) {
           startedController.pause();
         }
@@ -154,8 +169,8 @@
         {
           path,
           method: method,
-          headers: [...headers],
-          body: body.length === 0 ? null : body,
+          headers: [...headers, ...writeLength(body)],
+          body: requestBody,
         },
         handler,
       );
--- a/packages/router/tests/reading/createWorkQueue.test.ts
+++ b/packages/router/tests/reading/createWorkQueue.test.ts
@@ -5,6 +5,7 @@
 
 const createConnection = (workMs: number): PacedConnection => ({
   socket: new Socket(),
+  bodies: { isReadAtOnce: () => false, hasUnread: () => true },
   deliver: () => true,
   read: () => undefined,
   blocks: [],
