--- a/packages/router/tests/support/uncontrolledCallers/drawn/drawCrowd.ts
+++ b/packages/router/tests/support/uncontrolledCallers/drawn/drawCrowd.ts
@@ -1,5 +1,6 @@
 import { createRandom } from '../../createRandom.js';
 import type { CallerKind } from './callerKind.js';
+import type { DrawnCrowd } from './drawnCrowd.js';
 
 /** Keeps the numbers of successive seeds apart. */
 const SEED_FACTOR = 2_654_435_761;
@@ -15,11 +16,6 @@
 const CHUNK_BYTES = [1, 2, 8, 64, 1_024, 16_384, 65_536] as const;
 const RESPONSE_BYTES = [0, 100, 65_536, 4_000_000] as const;
 
-/** A crowd: in each wave its kinds of callers come all at once. */
-export interface DrawnCrowd {
-  readonly waves: readonly (readonly CallerKind[])[];
-}
-
 /** Draws a crowd. The same seed draws the same one. */
 export const drawCrowd = (seed: number, maxBodyBytes: number): DrawnCrowd => {
   const random = createRandom(Math.imul(seed, SEED_FACTOR));
--- a/packages/router/tests/support/uncontrolledCallers/drawn/playDrawnCrowd.ts
+++ b/packages/router/tests/support/uncontrolledCallers/drawn/playDrawnCrowd.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { CallerKind } from './callerKind.js';
-import type { DrawnCrowd } from './drawCrowd.js';
+import type { DrawnCrowd } from './drawnCrowd.js';
 import { playCaller } from './playCaller.js';
 import { writeCallerBytes } from './writeCallerBytes.js';
 
