--- a/packages/router/src/targets/loadTargetClient.ts
+++ b/packages/router/src/targets/loadTargetClient.ts
@@ -22,8 +22,8 @@
 };
 
 /**
- * Has the HTTP client compile its parser, which it does for its first response. That takes some 40 MB for a moment: they are
- * there when the process starts, but not when a crowd of callers has come before the first request.
+ * Has the HTTP client compile its parser, which it does for its first response. That takes much memory for a moment, which
+ * is there when the process starts, but not when a crowd of callers has come before the first request.
  */
 export const loadTargetClient = async (): Promise<void> => {
   const client = new Client(ANY_ORIGIN, {
--- a/packages/router/tests/uncontrolledCallers/drawnCrowds.test.ts
+++ b/packages/router/tests/uncontrolledCallers/drawnCrowds.test.ts
@@ -10,7 +10,7 @@
 /** The descriptors of a process without callers, with some room. */
 const MAX_DESCRIPTORS_IN_CALM = 60;
 /** The last ones have failed once. */
-const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 29, 1014, 1031];
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 29, 1014, 1031, 1042];
 
 /** The seeds of a run by hand: CROWD_SEEDS="FIRST COUNT". */
 const [firstSeed = 0, count] = process.env.CROWD_SEEDS?.split(' ').map(Number) ?? [];
