Callers: the body of a refused request is released at once

Cause: a connection that gives way for lack of memory leaves the budget at once, but stays open for a second so that its caller can read the 503. A body that was complete by then and had not been passed to the scheduler kept its blocks for that second, for up to 64 such connections at a time.

Change: such a body is released together with the account of its connection. A request that was passed to the scheduler keeps its body until its response is closed.

--- a/packages/router/src/callers/createRequestHandler.ts
+++ b/packages/router/src/callers/createRequestHandler.ts
@@ -77,6 +77,8 @@
       },
       handleBody: (body) => {
         response.once('close', body.release);
+        // A refused connection stays open for a while.
+        account.setRelease(body.release);
         account.hold('body', body.capacity);
         startQueue.startOrEnqueue({
           request,
@@ -95,6 +97,7 @@
               if (!account.isOpen()) {
                 return;
               }
+              account.setRelease(() => undefined);
               account.setServing(true);
               requests.add({ request, response, body, readAtMs, earliestArrivalAtMs });
             }
