Callers: a request that ran gets its response while memory is short

Cause: requests were passed to the scheduler until the budget was full, with nothing left for their responses; the responses then exceeded it, and the connections that gave way were running ones, those first that had just been written to.

Change: a request is passed on only while it takes at most half of the room that the running ones leave below seven eighths of the limit, else it gets 503 and has not run; small ones still find room behind large ones. What the callers of running requests hold besides (requests ahead, unparsed bytes) does not count in this. Beyond seven eighths, targets are paused in place of callers being closed; four responses at a time go on, so that memory is released. Who holds without a running request gives way first, then who has left a response unread for a second.

--- a/packages/router/src/callers/createRelay.ts
+++ b/packages/router/src/callers/createRelay.ts
@@ -15,9 +15,12 @@
   {
     isShuttingDown,
     memory,
+    resumeReading,
   }: {
     readonly isShuttingDown: () => boolean;
     readonly memory: MemoryBudget;
+    /** Goes on reading the response from the target. */
+    readonly resumeReading: () => void;
   },
 ): Relay => {
   const account = memory.getAccount(socket);
@@ -45,7 +48,7 @@
     waitingWrites += 1;
     const heldBytes = response.writableLength + waitingWrites * WAITING_WRITE_COST_BYTES;
     account.hold('unreadResponse', heldBytes);
-    return heldBytes <= memory.getConnectionShareBytes();
+    return heldBytes <= memory.getConnectionShareBytes() && !memory.isShort();
   };
 
   response.on('drain', () => {
@@ -73,6 +76,7 @@
     },
     holdBuffered: (bytes) => {
       account.hold('bufferedResponse', bytes);
+      return bytes === 0 || account.mayGrow(resumeReading);
     },
     end: () => {
       sendHead();
--- a/packages/router/src/callers/createRequestHandler.ts
+++ b/packages/router/src/callers/createRequestHandler.ts
@@ -8,8 +8,10 @@
 import type { CallerLimits } from '../memory/callerLimits.js';
 import type { MemoryBudget } from '../memory/memoryBudget.js';
 import { canRespond } from './canRespond.js';
+import type { CallerDismissal } from './callerDismissal.js';
 import type { CallerObserver } from './callerObserver.js';
 import { countRequestBytes } from './countRequestBytes.js';
+import { discardRequest } from './discardRequest.js';
 import { dismissCaller } from './dismissCaller.js';
 import { readBody } from './readBody.js';
 import { sendRefusal } from './sendRefusal.js';
@@ -67,14 +69,15 @@
     const readAtMs = performance.now();
     const earliestArrivalAtMs = getEarliestArrivalAtMs(request.socket);
     const account = memory.getAccount(request.socket);
+    const refuse = (reason: CallerDismissal): void => {
+      observer.reportDismissal(request, reason, dismissCaller(request.socket, reason));
+    };
     readBody({
       request,
       account,
       maxBytes: getMaxBodyBytes(),
       timeoutMs: limits.bodyTimeoutMs,
-      handleFailure: (reason) => {
-        observer.reportDismissal(request, reason, dismissCaller(request.socket, reason));
-      },
+      handleFailure: refuse,
       handleBody: (body) => {
         response.once('close', body.release);
         // A refused connection stays open for a while.
@@ -89,17 +92,13 @@
               logRejection(request, 'connectionClosing');
             } else if (shutdown.isRefusingRequests()) {
               refuseDuringShutdown(request, response);
-            } else {
-              account.hold('body', 0);
-              account.hold('head', 0);
-              account.hold('request', body.capacity + countRequestBytes(request));
-              // This connection itself may have been closed for lack of memory.
-              if (!account.isOpen()) {
-                return;
-              }
+            } else if (account.admit(body.capacity + countRequestBytes(request))) {
               account.setRelease(() => undefined);
-              account.setServing(true);
               requests.add({ request, response, body, readAtMs, earliestArrivalAtMs });
+            } else if (account.isOpen()) {
+              refuse('memoryShort');
+              discardRequest(request);
+              account.close();
             }
           },
           discard: () => {
--- a/packages/router/src/callers/relay.ts
+++ b/packages/router/src/callers/relay.ts
@@ -9,8 +9,8 @@
   readonly hasSentHead: () => boolean;
   /** Sets the head of the response, unless one was sent to the caller already. */
   readonly setHead: (status: number, headers: RawHeaders) => void;
-  /** Sets how many bytes of the response are buffered until it is complete. */
-  readonly holdBuffered: (bytes: number) => void;
+  /** Sets how many bytes of the response are buffered until it is complete; returns whether more can be read now. */
+  readonly holdBuffered: (bytes: number) => boolean;
   /** Sends bytes; returns whether more can be sent now: the caller may fall behind by its share of the memory. */
   readonly write: (bytes: Buffer, eventId?: string) => boolean;
   readonly end: () => void;
--- a/packages/router/src/memory/createMemoryBudget.ts
+++ b/packages/router/src/memory/createMemoryBudget.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { createGrowthGate } from './createGrowthGate.js';
 import type { HeldMemory } from './heldMemory.js';
 import type { MemoryAccount } from './memoryAccount.js';
 import type { MemoryBudget } from './memoryBudget.js';
@@ -7,6 +8,8 @@
 
 /** Part of the limit that is left free after connections were closed for lack of memory, so that this happens rarely. */
 const RESERVE_SHARE = 1 / 8;
+/** Part of the room for requests that a single one may take, so that smaller ones still find room behind large ones. */
+const MAX_SHARE_OF_ROOM = 1 / 2;
 /** Part of the limit that unread responses of one connection may take. */
 const CONNECTION_SHARE = 1 / 8;
 
@@ -16,8 +19,14 @@
 const isProgress = (kind: MemoryKind, addedBytes: number): boolean =>
   kind === 'body' ? addedBytes > 0 : kind === 'unreadResponse' && addedBytes < 0;
 
+/** Bytes that are held until a request that was passed to the scheduler has its response. */
+const countServedBytes = ({ isServing, servingBytes, bytesByKind }: Holder): number =>
+  isServing ? servingBytes + (bytesByKind.get('unreadResponse') ?? 0) : 0;
+
 const CLOSED_ACCOUNT: MemoryAccount = {
   hold: () => undefined,
+  admit: () => false,
+  mayGrow: () => true,
   setServing: () => undefined,
   isServing: () => false,
   setRelease: () => undefined,
@@ -47,11 +56,30 @@
   const holders = new Map<Socket, Holder>();
   const accounts = new WeakMap<Socket, MemoryAccount>();
   let heldBytes = 0;
+  /** What is held for all requests that were passed to the scheduler. */
+  let servedBytes = 0;
+
+  /** What requests that are being served may take before their responses stop growing. */
+  const getServedLimitBytes = (): number => getLimitBytes() * (1 - RESERVE_SHARE);
+  const isShort = (): boolean => servedBytes > getServedLimitBytes();
+  const growthGate = createGrowthGate<Holder>(isShort);
+
+  const hasRoomFor = (bytes: number): boolean =>
+    servedBytes === 0 || bytes <= (getServedLimitBytes() - servedBytes) * MAX_SHARE_OF_ROOM;
+
+  const setServing = (holder: Holder, isServing: boolean): void => {
+    servedBytes -= countServedBytes(holder);
+    holder.isServing = isServing;
+    servedBytes += countServedBytes(holder);
+    growthGate.notifyReleased();
+  };
 
   const remove = (socket: Socket, holder: Holder): void => {
     if (holders.get(socket) === holder) {
       holders.delete(socket);
       heldBytes -= holder.callerBytes + holder.servingBytes;
+      servedBytes -= countServedBytes(holder);
+      growthGate.leave(holder);
       holder.release();
     }
   };
@@ -63,6 +91,7 @@
       ([socket, holder]): HeldMemory & { readonly socket: Socket; readonly holder: Holder } => ({
         socket,
         holder,
+        isServing: holder.isServing,
         callerBytes: holder.callerBytes,
         servingBytes: holder.servingBytes,
         callerAgeMs: nowMs - holder.callerSinceMs,
@@ -84,6 +113,7 @@
     if (addedBytes === 0) {
       return;
     }
+    servedBytes -= countServedBytes(holder);
     holder.bytesByKind.set(kind, bytes);
     if (SERVING_KINDS.has(kind)) {
       if (holder.servingBytes === 0) {
@@ -97,6 +127,10 @@
       holder.callerBytes += addedBytes;
     }
     heldBytes += addedBytes;
+    servedBytes += countServedBytes(holder);
+    if (addedBytes < 0) {
+      growthGate.notifyReleased();
+    }
     if (addedBytes > 0 && heldBytes > getLimitBytes()) {
       relieve();
     }
@@ -118,12 +152,33 @@
       const isOpen = (): boolean => holders.get(socket) === holder;
       const account: MemoryAccount = {
         hold: (kind, bytes) => {
-          if (isOpen()) {
-            hold(holder, kind, bytes);
+          if (!isOpen()) {
+            return;
           }
+          hold(holder, kind, bytes);
+          if (kind === 'bufferedResponse' && bytes === 0) {
+            growthGate.leave(holder);
+          }
+        },
+        admit: (bytes) => {
+          if (!isOpen() || !hasRoomFor(bytes)) {
+            return false;
+          }
+          hold(holder, 'body', 0);
+          hold(holder, 'head', 0);
+          hold(holder, 'request', bytes);
+          // The connection itself may have been closed for its bytes.
+          if (!isOpen()) {
+            return false;
+          }
+          setServing(holder, true);
+          return true;
         },
+        mayGrow: (resume) => !isOpen() || growthGate.mayGrow(holder, resume),
         setServing: (isServing) => {
-          holder.isServing = isServing;
+          if (isOpen()) {
+            setServing(holder, isServing);
+          }
         },
         isServing: () => holder.isServing,
         setRelease: (release) => {
@@ -140,6 +195,7 @@
     getAccount: (socket) => accounts.get(socket) ?? CLOSED_ACCOUNT,
     countHeldBytes: () => heldBytes,
     getLimitBytes,
+    isShort,
     getConnectionShareBytes: () => getLimitBytes() * CONNECTION_SHARE,
   };
 };
--- a/packages/router/src/memory/heldMemory.ts
+++ b/packages/router/src/memory/heldMemory.ts
@@ -1,5 +1,7 @@
 /** What one connection holds, as far as the choice of connections to close depends on it. */
 export interface HeldMemory {
+  /** Whether a request of the connection has been passed to the scheduler. */
+  readonly isServing: boolean;
   /** Bytes that are held until the caller sends or reads more. */
   readonly callerBytes: number;
   /** Bytes that are held for a request that is being served. */
--- a/packages/router/src/memory/memoryBudget.ts
+++ b/packages/router/src/memory/memoryBudget.ts
@@ -13,6 +13,8 @@
   /** Bytes that are held for all connections. */
   readonly countHeldBytes: () => number;
   readonly getLimitBytes: () => number;
+  /** Whether the requests that are being served take nearly all of it, so that no response should grow. */
+  readonly isShort: () => boolean;
   /** Bytes beyond which a target is paused while its caller does not read. */
   readonly getConnectionShareBytes: () => number;
 }
--- a/packages/router/src/memory/selectConnectionsToClose.ts
+++ b/packages/router/src/memory/selectConnectionsToClose.ts
@@ -2,6 +2,8 @@
 
 /** Added to each age, so that of young connections the one that holds most is selected. */
 const MIN_AGE_MS = 50;
+/** A caller whose request is being served has this time to read the next part of its response. */
+const MIN_UNREAD_MS = 1_000;
 
 /** Part of the callers' bytes that is released besides the overflow, at most down to the goal. */
 const CALLER_RESERVE_SHARE = 1 / 8;
@@ -14,6 +16,11 @@
 const getServingScore = ({ servingBytes, servingAgeMs }: HeldMemory): number =>
   servingBytes * (servingAgeMs + MIN_AGE_MS);
 
+const isWaitingForCaller = ({ isServing }: HeldMemory): boolean => !isServing;
+
+const isUnread = ({ isServing, callerAgeMs }: HeldMemory): boolean =>
+  isServing && callerAgeMs >= MIN_UNREAD_MS;
+
 const sortByScore = <Connection extends HeldMemory>(
   connections: readonly Connection[],
   getScore: (held: HeldMemory) => number,
@@ -24,9 +31,9 @@
 
 /**
  * Selects the connections to close when more than `limitBytes` are held: those whose callers have made the entry
- * hold the most for the longest time, until `goalBytes` are left or the overflow and a share of the callers' bytes are
- * released, and if these do not suffice also those with a request that is being served, until a little less than the
- * limit is held.
+ * hold the most for the longest time, first without and then with a request that is being served, until `goalBytes` are left
+ * or the overflow and a share of the callers' bytes are released. If these do not suffice, also others with a request that
+ * is being served, until a little less than the limit is held.
  */
 export const selectConnectionsToClose = <Connection extends HeldMemory>(
   connections: readonly Connection[],
@@ -53,12 +60,12 @@
     return [];
   }
   const callerBytes = connections.reduce((sum, connection) => sum + connection.callerBytes, 0);
-  selectUntil(
-    sortByScore(connections, getCallerScore),
-    Math.max(goalBytes, limitBytes - callerBytes * CALLER_RESERVE_SHARE),
-  );
+  const remainingBytes = Math.max(goalBytes, limitBytes - callerBytes * CALLER_RESERVE_SHARE);
+  selectUntil(sortByScore(connections.filter(isWaitingForCaller), getCallerScore), remainingBytes);
+  selectUntil(sortByScore(connections.filter(isUnread), getCallerScore), remainingBytes);
   if (heldBytes > limitBytes) {
     const reserveBytes = (limitBytes - goalBytes) * SERVING_RESERVE_SHARE;
+    selectUntil(sortByScore(connections, getCallerScore), limitBytes - reserveBytes);
     selectUntil(sortByScore(connections, getServingScore), limitBytes - reserveBytes);
   }
   return [...selected];
--- a/packages/router/src/requests/createBufferedSink.ts
+++ b/packages/router/src/requests/createBufferedSink.ts
@@ -41,8 +41,7 @@
       collector.add(bytes);
       hasOverflowed ||= collector.getLength() > MAX_BUFFERED_BYTES;
       if (!hasOverflowed) {
-        relay.holdBuffered(collector.getCapacity());
-        return true;
+        return relay.holdBuffered(collector.getCapacity());
       }
       const canAcceptMore = flush();
       reporter.reportCommitted();
--- a/packages/router/src/requests/createRequestTable.ts
+++ b/packages/router/src/requests/createRequestTable.ts
@@ -55,7 +55,6 @@
 }): RequestTable => {
   const openRequests = new Map<number, OpenRequest>();
   const targetClient = createTargetClient();
-  const relayOptions = { isShuttingDown, memory };
   let nextRequestId = 1;
 
   const remove = (openRequest: OpenRequest): void => {
@@ -224,7 +223,14 @@
       nextRequestId += 1;
       const headers = codec.readRequestHeaders(request.headers);
       const caller: Caller = { requestId, request, response, headers, body };
-      const openRequest: OpenRequest = { caller, relay: createRelay(caller, relayOptions) };
+      const relay = createRelay(caller, {
+        isShuttingDown,
+        memory,
+        resumeReading: () => {
+          openRequests.get(requestId)?.exchange?.resume();
+        },
+      });
+      const openRequest: OpenRequest = { caller, relay };
       openRequests.set(requestId, openRequest);
       watchCaller(openRequest);
       const arrival = createArrival({
--- a/packages/router/src/requests/createStreamingSink.ts
+++ b/packages/router/src/requests/createStreamingSink.ts
@@ -45,8 +45,7 @@
 
   const relayEvents = (bytes: Buffer): boolean => {
     const { blocks, fault } = reader.read(bytes);
-    relay.holdBuffered(reader.countIncompleteBytes());
-    let canAcceptMore = true;
+    let canAcceptMore = relay.holdBuffered(reader.countIncompleteBytes());
     if (blocks[0]?.kind === 'comment' && !relay.hasSentHead()) {
       reporter.reportStarted();
     }
--- a/packages/router/tests/createBufferedSink.test.ts
+++ b/packages/router/tests/createBufferedSink.test.ts
@@ -13,6 +13,7 @@
       setHead: () => undefined,
       holdBuffered: (bytes) => {
         heldBytes = bytes;
+        return true;
       },
       write: () => true,
       end: () => undefined,
--- a/packages/router/tests/memory/createMemoryBudget.test.ts
+++ b/packages/router/tests/memory/createMemoryBudget.test.ts
@@ -1,4 +1,5 @@
 import { Socket } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { expect, test } from 'vitest';
 import { createMemoryBudget } from '../../src/memory/createMemoryBudget.js';
 
@@ -82,3 +83,90 @@
   open('small').hold('body', 101);
   expect(closed).toEqual(['stalled']);
 });
+
+// Guards against requests that are passed on although nothing is left for their responses.
+test('a request is admitted while it takes at most half of the room for requests', () => {
+  const { open } = createTestBudget(1_000);
+  const admit = (bytes: number) => {
+    const account = open('ordinary');
+    account.hold('body', bytes);
+    return account.admit(bytes);
+  };
+  expect([admit(400), admit(300), admit(200), admit(200), admit(50)]).toEqual([
+    true,
+    false,
+    true,
+    false,
+    true,
+  ]);
+});
+
+// Guards against a request of the full size that is never admitted.
+test('a single request is admitted up to the limit', () => {
+  const { open } = createTestBudget(1_000);
+  expect(open('first').admit(1_000)).toBe(true);
+  expect(open('second').admit(1)).toBe(false);
+});
+
+// Guards against ordinary callers that are refused because of those who only hold memory.
+test('a request is admitted beside running ones whose callers hold much else', () => {
+  const { open, closed, pass } = createTestBudget(1_000);
+  const holding = open('holding');
+  holding.admit(100);
+  holding.hold('requestsAhead', 400);
+  holding.hold('unparsed', 490);
+  pass(2_000);
+  expect(open('ordinary').admit(100)).toBe(true);
+  expect(closed).toEqual(['holding']);
+});
+
+// Guards against a request that is refused for good after others have ended.
+test('a request that has ended makes room for another one', () => {
+  const { open } = createTestBudget(1_000);
+  const [first, second] = [open('first'), open('second')];
+  first.admit(800);
+  expect(second.admit(400)).toBe(false);
+  first.setServing(false);
+  first.hold('request', 0);
+  expect(second.admit(400)).toBe(true);
+  second.close();
+  expect(first.admit(400)).toBe(true);
+});
+
+// Guards against running requests that are broken off for their own responses.
+test('while the budget is short, few responses grow and the others wait for memory', async () => {
+  const { open, closed } = createTestBudget(1_000);
+  const accounts = Array.from({ length: 8 }, (_, index) => open(`request ${index}`));
+  accounts.forEach((account) => {
+    account.admit(50);
+    account.hold('bufferedResponse', 60);
+  });
+  const resumed: number[] = [];
+  const growing = accounts.map((account, index) => account.mayGrow(() => resumed.push(index)));
+  expect(growing.filter((isGrowing) => isGrowing)).toHaveLength(4);
+  await nextTurn();
+  expect(resumed).toEqual([]);
+  accounts[0]?.close();
+  await nextTurn();
+  expect(resumed).toEqual([4, 5, 6, 7]);
+  expect(closed).toEqual([]);
+});
+
+// Guards against a response that nobody goes on reading once the ones before it are complete.
+test('a response that is no longer buffered lets the next one grow', async () => {
+  const { open } = createTestBudget(1_000);
+  const accounts = Array.from({ length: 6 }, (_, index) => open(`request ${index}`));
+  accounts.forEach((account) => {
+    account.admit(50);
+    account.hold('bufferedResponse', 50);
+  });
+  const large = open('large');
+  large.hold('request', 350);
+  large.setServing(true);
+  const resumed: number[] = [];
+  accounts.forEach((account, index) => account.mayGrow(() => resumed.push(index)));
+  accounts[0]?.hold('bufferedResponse', 0);
+  accounts[0]?.hold('unreadResponse', 50);
+  await nextTurn();
+  expect(resumed).toEqual([4]);
+});
--- a/packages/router/tests/memory/selectConnectionsToClose.test.ts
+++ b/packages/router/tests/memory/selectConnectionsToClose.test.ts
@@ -2,6 +2,7 @@
 import { selectConnectionsToClose } from '../../src/memory/selectConnectionsToClose.js';
 
 const createHeld = (callerBytes: number, servingBytes: number, ageMs: number) => ({
+  isServing: servingBytes > 0,
   callerBytes,
   servingBytes,
   callerAgeMs: ageMs,
@@ -47,3 +48,24 @@
   const requests = Array.from({ length: 101 }, (_, index) => createHeld(0, 10, 1_000 - index));
   expect(selectConnectionsToClose(requests, 1_000, 875).length).toBeGreaterThan(3);
 });
+
+// Guards against a sound caller whose request has run, and that gives way before one that only holds memory.
+test('a response that has just been written gives way after all that is held for callers', () => {
+  const served = createHeld(400, 100, 10);
+  const holding = [createHeld(30, 0, 20), createHeld(30, 0, 10)];
+  expect(selectConnectionsToClose([served, ...holding], 550, 400)).toEqual(holding);
+});
+
+// Guards against callers that hold memory by not reading.
+test('a response that has been unread for a while gives way before a young one', () => {
+  const young = createHeld(700, 100, 10);
+  const unread = createHeld(300, 100, 2_000);
+  expect(selectConnectionsToClose([young, unread], 1_000, 875)).toEqual([unread]);
+});
+
+// Guards against a budget that stays exceeded when only young responses hold memory.
+test('a young response gives way where nothing else suffices', () => {
+  const young = createHeld(900, 100, 10);
+  const small = createHeld(100, 100, 10);
+  expect(selectConnectionsToClose([small, young], 1_000, 875)).toEqual([young]);
+});
--- a/packages/router/tests/streamProgress.test.ts
+++ b/packages/router/tests/streamProgress.test.ts
@@ -16,7 +16,7 @@
       countEvents: () => 0,
       hasSentHead: () => false,
       setHead: () => undefined,
-      holdBuffered: () => undefined,
+      holdBuffered: () => true,
       write: (bytes) => {
         relayed += bytes.toString();
         return true;
--- a/packages/router/tests/support/uncontrolledCallers/routerUnderLoad.ts
+++ b/packages/router/tests/support/uncontrolledCallers/routerUnderLoad.ts
@@ -10,4 +10,8 @@
   readonly countBegunResponses: () => number;
   /** Number of responses that the target has begun and not ended. */
   readonly countOpenResponses: () => number;
+  /** Number of requests that the target has read and holds back its response to. */
+  readonly countHeldResponses: () => number;
+  /** Lets the target respond to them all at once. */
+  readonly releaseHeld: () => void;
 }
--- a/packages/router/tests/support/uncontrolledCallers/startRouterUnderLoad.ts
+++ b/packages/router/tests/support/uncontrolledCallers/startRouterUnderLoad.ts
@@ -14,7 +14,7 @@
 /** The largest head that the parser takes. */
 const MAX_HEADER_BYTES = 65_536;
 const BYTES_PER_KIB = 1_024;
-const SLOTS = 8;
+const DEFAULT_SLOTS = 8;
 /** Longer than a test, so that no request ends because of its route. */
 const ROUTE_TIMEOUT_MS = 600_000;
 
@@ -25,7 +25,7 @@
   readonly unreadTimeoutMs?: number;
 }
 
-const createDocument = (targetAddress: string, maxBodyBytes: number): object => ({
+const createDocument = (targetAddress: string, maxBodyBytes: number, slots: number): object => ({
   version: 1,
   routes: [
     {
@@ -43,9 +43,7 @@
     },
   ],
   services: [{ name: 'portal', maxConnections: 100 }],
-  targets: [
-    { id: 'p1', service: 'portal', address: targetAddress, dataCentre: 'here', slots: SLOTS },
-  ],
+  targets: [{ id: 'p1', service: 'portal', address: targetAddress, dataCentre: 'here', slots }],
   limits: { maxBodyBytes, maxHeaderBytes: MAX_HEADER_BYTES },
 });
 
@@ -70,17 +68,20 @@
 export const startRouterUnderLoad = async ({
   heapMib = DEFAULT_HEAP_MIB,
   maxBodyBytes = DEFAULT_MAX_BODY_BYTES,
+  slots = DEFAULT_SLOTS,
   callerLimits = {},
 }: {
   readonly heapMib?: number;
   readonly maxBodyBytes?: number;
+  /** Requests that the target takes at a time. */
+  readonly slots?: number;
   readonly callerLimits?: CallerLimitSettings;
 } = {}): Promise<RouterUnderLoad> => {
   const target = await startLargeTarget();
   const directory = mkdtempSync(join(tmpdir(), 'parsleyhall-callers-'));
   const settingsPath = join(directory, 'settings.json');
   const routingPath = join(directory, 'routing.json');
-  writeFileSync(routingPath, JSON.stringify(createDocument(target.address, maxBodyBytes)));
+  writeFileSync(routingPath, JSON.stringify(createDocument(target.address, maxBodyBytes, slots)));
   writeFileSync(settingsPath, JSON.stringify(createSettings(routingPath, callerLimits)));
   const child = spawn(
     process.execPath,
@@ -118,6 +119,8 @@
     countDescriptors: () => readdirSync(`/proc/${pid}/fd`).length,
     countBegunResponses: target.countBegunResponses,
     countOpenResponses: target.countOpenResponses,
+    countHeldResponses: target.countHeldResponses,
+    releaseHeld: target.releaseHeld,
     [Symbol.asyncDispose]: async () => {
       kill();
       await exited;
