Callers: small chunks behind a request that waits no longer end the process

What callers saw: a crowd of 360 callers that each sent a request, and behind it one with a body in chunks of one byte, ended the process (heap out of memory, 64 MB).

Cause: the body of a request that waits for the response before it is not read yet, and the request keeps each of its parts as an object: 1,365 for a slice of 8 KiB, some 200 bytes each. The budget counted their bytes, 1 each.

Change: what arrives of such a body is joined and counted with its real size, and handed to the request when its turn has come.

--- a/packages/router/src/callers/createConnectionTracker.ts
+++ b/packages/router/src/callers/createConnectionTracker.ts
@@ -8,6 +8,7 @@
 import { closeBrokenOff } from './closeBrokenOff.js';
 import { closeForLimit } from './closeForLimit.js';
 import type { ConnectionTracker } from './connectionTracker.js';
+import { collectWaitingBody } from './collectWaitingBody.js';
 import { countRequestBytes } from './countRequestBytes.js';
 import { findConnectionToClose } from './findConnectionToClose.js';
 import { holdRequestsAhead } from './holdRequestsAhead.js';
@@ -64,6 +65,7 @@
     if (!account.isOpen()) {
       return;
     }
+    next.waitingBody?.deliver();
     next.handle();
     if (!mustPause(socket, connection)) {
       socket.resume();
@@ -153,6 +155,7 @@
         handle,
         sinceMs: getNowMs(),
         headBytes: countRequestBytes(request),
+        ...(openRequests.length === 0 ? {} : { waitingBody: collectWaitingBody(request) }),
       });
       if (openRequests.length > MAX_REQUESTS_AHEAD) {
         connection.isClosing = true;
--- a/packages/router/src/callers/holdRequestsAhead.ts
+++ b/packages/router/src/callers/holdRequestsAhead.ts
@@ -4,6 +4,9 @@
 export const holdRequestsAhead = ({ account, openRequests }: TrackedConnection): void => {
   const bytes = openRequests
     .slice(1)
-    .reduce((sum, { request, headBytes }) => sum + headBytes + request.readableLength, 0);
+    .reduce(
+      (sum, { headBytes, waitingBody }) => sum + headBytes + (waitingBody?.getCapacity() ?? 0),
+      0,
+    );
   account.hold('requestsAhead', bytes);
 };
--- a/packages/router/src/callers/trackedConnection.ts
+++ b/packages/router/src/callers/trackedConnection.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { MemoryAccount } from '../memory/memoryAccount.js';
+import type { WaitingBody } from './waitingBody.js';
 
 interface OpenRequest {
   readonly request: IncomingMessage;
@@ -9,6 +10,8 @@
   readonly sinceMs: number;
   /** Memory of the request without its body. */
   readonly headBytes: number;
+  /** What has arrived of its body; undefined if it was handled at once. */
+  readonly waitingBody?: WaitingBody;
 }
 
 /** A caller's connection. */
--- a/packages/router/tests/uncontrolledCallers/requestsAhead.test.ts
+++ b/packages/router/tests/uncontrolledCallers/requestsAhead.test.ts
@@ -7,6 +7,11 @@
 const createRequest = (path: string): string =>
   `POST ${path} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 2\r\n\r\n{}`;
 const LARGE_HEAD = 'POST /data/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 900000000\r\n\r\n';
+const SMALL_CHUNKS = Buffer.from(
+  `${createRequest('/data/silent')}POST /data/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(4_000)}`,
+);
+/** The silent target takes all requests of the crowd, and the ordinary one. */
+const SLOTS = 1_000;
 const REQUESTS_WITHOUT_HOST = Buffer.from('GET / HTTP/1.1\r\n\r\n'.repeat(3_600));
 
 // Guards against a body that is read and kept without a bound although its request waits for others.
@@ -57,3 +62,19 @@
     },
   );
 });
+
+// Guards against the objects that the parts of a body take while its request waits for the one before it.
+test('bodies in chunks of one byte behind a request whose response is due', async () => {
+  await using router = await startRouterUnderLoad({ slots: SLOTS });
+  await playCrowd(
+    {
+      address: router.callersAddress,
+      callers: 360,
+      parts: [SMALL_CHUNKS],
+      isReading: true,
+    },
+    async () => {
+      await expectSurvival(router);
+    },
+  );
+});
