Callers: a whole response does not wait for memory

What callers would see: while memory is short, a small response that has arrived whole would wait behind large ones that grow, up to the time limit of a target that stalls.

Change: a response that has as many bytes as its length says is not paused.

--- a/packages/router/src/requests/createBufferedSink.ts
+++ b/packages/router/src/requests/createBufferedSink.ts
@@ -12,6 +12,8 @@
   const collector = createByteCollector();
   let hasOverflowed = false;
   let isRelayed = false;
+  /** Is not a number while the response has no length. */
+  let announcedBytes = NaN;
   let head: { readonly status: number; readonly rawHeaders: RawHeaders } | undefined;
 
   const release = (): void => {
@@ -32,6 +34,7 @@
   return {
     handleHead: (status, headers, rawHeaders) => {
       isRelayed = reporter.reportHead(status, headers);
+      announcedBytes = Number(headers['content-length']);
       head = { status, rawHeaders };
     },
     handleBytes: (bytes) => {
@@ -41,7 +44,10 @@
       collector.add(bytes);
       hasOverflowed ||= collector.getLength() > MAX_BUFFERED_BYTES;
       if (!hasOverflowed) {
-        return relay.holdBuffered(collector.getCapacity());
+        // Nothing of a whole response is left to be read but its end.
+        return (
+          relay.holdBuffered(collector.getCapacity()) || collector.getLength() === announcedBytes
+        );
       }
       const canAcceptMore = flush();
       reporter.reportCommitted();
