Callers: one that leaves behind unparsed bytes is noticed

Cause: the entry stops reading from a connection with a request ahead, and only reading shows that its caller has left.

Change: a paused connection is read on up to 64 KiB or 8 blocks that are not parsed. If its caller has ended its side, its request is cancelled unless its response is complete. What a caller leaves behind beyond that still hides its end.

--- a/packages/router/src/callers/connectionTracker.ts
+++ b/packages/router/src/callers/connectionTracker.ts
@@ -11,6 +11,8 @@
     response: ServerResponse,
     handle: () => void,
   ) => void;
+  /** Has to be called once the caller of a paused connection has left; ends its request unless the response is complete. */
+  readonly endAbandonedRequest: (socket: Socket) => void;
   /** Number of requests whose response is not written out. */
   readonly countOpenRequests: () => number;
   /** Number of open connections on which a request has arrived. */
--- a/packages/router/src/callers/createCallersServer.ts
+++ b/packages/router/src/callers/createCallersServer.ts
@@ -106,7 +106,9 @@
   server.on('connection', (socket) => {
     connections.addConnection(socket);
     recordConnection(socket);
-    reading.addConnection(socket);
+    reading.addConnection(socket, () => {
+      connections.endAbandonedRequest(socket);
+    });
   });
   return {
     countOpenRequests: connections.countOpenRequests,
--- a/packages/router/src/callers/createConnectionTracker.ts
+++ b/packages/router/src/callers/createConnectionTracker.ts
@@ -183,6 +183,12 @@
         handle();
       }
     },
+    endAbandonedRequest: (socket) => {
+      const response = connections.get(socket)?.openRequests[0]?.response;
+      if (response?.writableEnded === false) {
+        socket.destroy();
+      }
+    },
     countOpenRequests: () =>
       [...connections.values()].reduce((count, { openRequests }) => count + openRequests.length, 0),
     countUsedConnections: () =>
--- a/packages/router/src/reading/createPacedReading.ts
+++ b/packages/router/src/reading/createPacedReading.ts
@@ -12,12 +12,26 @@
 /** After so long, parsing goes on in the next turn of the event loop, so that everything else has its turn. */
 const MAX_PARSING_PER_TURN_MS = 20;
 
+/** A paused connection is read on up to so many bytes, since only reading shows that its caller has left. */
+const MAX_UNPARSED_BYTES_WHILE_PAUSED = 65_536;
+/** The same for small blocks, each of which takes an object. */
+const MAX_BLOCKS_WHILE_PAUSED = 8;
+
 const isParsable = ({ socket, blocks }: PacedConnection): boolean =>
   blocks.length > 0 && socket.readableFlowing === true && !socket.destroyed;
 
 const countUnparsedBytes = ({ blocks }: PacedConnection): number =>
   blocks.reduce((sum, { bytes, parsedBytes }) => sum + bytes.length - parsedBytes, 0);
 
+/** A connection whose side was ended is being closed. */
+const isPaused = ({ socket }: PacedConnection): boolean =>
+  socket.readableFlowing === false && !socket.destroyed && !socket.writableEnded;
+
+const mayReadWhilePaused = (connection: PacedConnection): boolean =>
+  isPaused(connection) &&
+  connection.blocks.length < MAX_BLOCKS_WHILE_PAUSED &&
+  countUnparsedBytes(connection) < MAX_UNPARSED_BYTES_WHILE_PAUSED;
+
 const countHeldBytes = ({ blocks }: PacedConnection): number =>
   blocks.reduce((sum, { bytes, storage = bytes }) => sum + storage.length, 0);
 
@@ -59,6 +73,22 @@
     parsingMs += workMs;
   };
 
+  const readOn = (connection: PacedConnection): void => {
+    gate.readOn(connection);
+    scheduleTurnEnd();
+  };
+
+  /** Reads on, or reports the end, although nothing is parsed. */
+  const settlePaused = (connection: PacedConnection): void => {
+    if (connection.hasEnded) {
+      connection.reportEarlyEnd();
+    } else if (mayReadWhilePaused(connection)) {
+      // The pause has stopped reading past the gate.
+      gate.stop(connection);
+      readOn(connection);
+    }
+  };
+
   /** Does what follows from the bytes that are left: keeps them until their turn, reads on, or delivers the end. */
   const settle = (connection: PacedConnection): void => {
     const { socket, blocks } = connection;
@@ -69,6 +99,10 @@
       queue.add(connection);
     }
     holdUnparsedBytes(socket, countHeldBytes(connection));
+    if (isPaused(connection)) {
+      settlePaused(connection);
+      return;
+    }
     if (blocks.length > 0 || socket.destroyed) {
       return;
     }
@@ -77,8 +111,7 @@
       connection.deliver(null);
     } else if (connection.isReadDue && socket.readableFlowing === true) {
       connection.isReadDue = false;
-      gate.readOn(connection);
-      scheduleTurnEnd();
+      readOn(connection);
     }
   };
 
@@ -137,18 +170,19 @@
     });
     gate.recordRead(bytes.length);
     parseOrWait(connection);
-    if (connection.blocks.length > 0) {
+    if (connection.blocks.length > 0 && !mayReadWhilePaused(connection)) {
       gate.stop(connection);
     }
     return gate.isReading(connection);
   };
 
   return {
-    addConnection: (socket) => {
+    addConnection: (socket, reportEarlyEnd) => {
       const connection: PacedConnection = {
         socket,
         deliver: socket.push.bind(socket),
         read: socket._read.bind(socket, 0),
+        reportEarlyEnd,
         blocks: [],
         hasEnded: false,
         isReadDue: false,
--- a/packages/router/src/reading/pacedConnection.ts
+++ b/packages/router/src/reading/pacedConnection.ts
@@ -8,6 +8,8 @@
   readonly deliver: (bytes: Buffer | null) => boolean;
   /** Reads on. */
   readonly read: () => void;
+  /** Reports that the caller has ended its side while the connection is paused, so that its end cannot be delivered. */
+  readonly reportEarlyEnd: () => void;
   /** What was read and is not parsed, in order. */
   readonly blocks: ReadBlock[];
   /** Whether the caller has ended its side behind these blocks. */
--- a/packages/router/tests/reading/createPacedReading.test.ts
+++ b/packages/router/tests/reading/createPacedReading.test.ts
@@ -17,10 +17,12 @@
   AsyncDisposable & {
     readonly open: () => Socket;
     readonly held: Map<Socket, number>;
+    readonly earlyEnds: Set<Socket>;
     readonly server: Server;
   }
 > => {
   const held = new Map<Socket, number>();
+  const earlyEnds = new Set<Socket>();
   const reading = createPacedReading({
     getNowMs: () => performance.now(),
     getEarliestArrivalAtMs: () => performance.now(),
@@ -28,11 +30,14 @@
     reportWait: () => undefined,
   });
   const server = createServer(handle);
-  server.on('connection', reading.addConnection);
+  server.on('connection', (socket) => {
+    reading.addConnection(socket, () => earlyEnds.add(socket));
+  });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const sockets: Socket[] = [];
   return {
     held,
+    earlyEnds,
     server,
     open: () => {
       const socket = connect({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
@@ -42,7 +47,10 @@
     },
     [Symbol.asyncDispose]: async () => {
       sockets.forEach((socket) => socket.destroy());
-      await new Promise((resolve) => server.close(resolve));
+      const closed = new Promise((resolve) => server.close(resolve));
+      // The end of a paused connection may not be noticed.
+      server.closeAllConnections();
+      await closed;
     },
   };
 };
@@ -165,3 +173,47 @@
   expect(finished).toBeLessThan(SLOW_CALLERS);
   await Promise.all(written);
 });
+
+// Guards against callers that leave unnoticed, whose requests run on and whose connections stay open.
+test.each([
+  ['nothing', ''],
+  ['a request', `${HEAD}\r\n`],
+  ['more than is parsed at a time', `${HEAD}Content-Length: 30000\r\n\r\n${'x'.repeat(30_000)}`],
+])('the end of a paused connection behind %s is reported', async (_, behind) => {
+  const requests: IncomingMessage[] = [];
+  await using server = await startServer((request, response) => {
+    requests.push(request);
+    request.resume();
+    request.once('end', () => {
+      if (requests.length === 1) {
+        request.socket.pause();
+      }
+      setTimeout(() => response.end(), 300);
+    });
+  });
+  const socket = server.open();
+  socket.write(`${HEAD}\r\n`);
+  await once(server.server, 'request');
+  socket.write(behind);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(server.earlyEnds.size).toBe(0);
+  socket.end();
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  expect(requests).toHaveLength(1);
+  expect([...server.earlyEnds]).toEqual([requests[0]?.socket]);
+});
+
+// Guards against a paused connection that is read without a bound.
+test('a paused connection is read up to a bound', async () => {
+  await using server = await startServer((request) => {
+    request.socket.pause();
+  });
+  const socket = server.open();
+  socket.write(`${HEAD}Content-Length: 10000000\r\n\r\n`);
+  await once(server.server, 'request');
+  socket.write(Buffer.alloc(10_000_000));
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  const [held = 0] = server.held.values();
+  expect(held).toBeGreaterThan(0);
+  expect(held).toBeLessThanOrEqual(4 * 65_536);
+});
--- a/packages/router/tests/reading/createWorkQueue.test.ts
+++ b/packages/router/tests/reading/createWorkQueue.test.ts
@@ -7,6 +7,7 @@
   socket: new Socket(),
   deliver: () => true,
   read: () => undefined,
+  reportEarlyEnd: () => undefined,
   blocks: [],
   hasEnded: false,
   isReadDue: false,
