--- a/packages/router/tests/support/uncontrolledCallers/drawn/playDrawnCrowd.ts
+++ b/packages/router/tests/support/uncontrolledCallers/drawn/playDrawnCrowd.ts
@@ -4,8 +4,12 @@
 import { playCaller } from './playCaller.js';
 import { writeCallerBytes } from './writeCallerBytes.js';
 
-const playKind = (address: string, kind: CallerKind): Promise<readonly Socket[]> => {
-  const bytes = writeCallerBytes(kind);
+const playKind = (
+  address: string,
+  kind: CallerKind,
+  options: { readonly pathAhead?: string },
+): Promise<readonly Socket[]> => {
+  const bytes = writeCallerBytes(kind, options);
   return Promise.all(Array.from({ length: kind.callers }, () => playCaller(address, kind, bytes)));
 };
 
@@ -14,9 +18,12 @@
   address: string,
   { waves }: DrawnCrowd,
   checkWave: () => Promise<void>,
+  options: { readonly pathAhead?: string } = {},
 ): Promise<void> => {
   for (const kinds of waves) {
-    const sockets = (await Promise.all(kinds.map((kind) => playKind(address, kind)))).flat();
+    const sockets = (
+      await Promise.all(kinds.map((kind) => playKind(address, kind, options)))
+    ).flat();
     try {
       await checkWave();
     } finally {
--- a/packages/router/tests/support/uncontrolledCallers/drawn/writeCallerBytes.ts
+++ b/packages/router/tests/support/uncontrolledCallers/drawn/writeCallerBytes.ts
@@ -47,13 +47,19 @@
   }
 };
 
-/** Writes what each caller of this kind sends. */
-export const writeCallerBytes = (kind: CallerKind): Buffer => {
-  const requestLine = `POST /data/${kind.responseBytes} HTTP/1.1\r\n`;
-  const start = `${requestLine}${kind.hasUsualHeaders ? USUAL_HEADERS : ''}${writeLines(kind)}`;
+const writeStart = (kind: CallerKind, path: string): string =>
+  `POST ${path} HTTP/1.1\r\n${kind.hasUsualHeaders ? USUAL_HEADERS : ''}${writeLines(kind)}`;
+
+/** Writes what each caller of this kind sends; its requests ahead may have another path than the last one. */
+export const writeCallerBytes = (
+  kind: CallerKind,
+  { pathAhead = `/data/${kind.responseBytes}` }: { readonly pathAhead?: string } = {},
+): Buffer => {
+  const start = writeStart(kind, `/data/${kind.responseBytes}`);
   const head = `${start}${writeFraming(kind)}\r\n`;
   const body = kind.framing === 'chunked' ? writeChunks(kind) : 'x'.repeat(kind.bodyBytes);
   return Buffer.from(
-    `${start}Content-Length: 0\r\n\r\n`.repeat(kind.requestsAhead) + cut(kind, head, body),
+    `${writeStart(kind, pathAhead)}Content-Length: 0\r\n\r\n`.repeat(kind.requestsAhead) +
+      cut(kind, head, body),
   );
 };
