Callers: no further request begins for one that has left

What callers and targets would see: of a caller that ended its side behind bytes that wait, the running request is cancelled, but where its response was complete and not yet written, the next request of the connection began for nobody. Found by reading; not seen in a run.

Change: the connection is closed once that response is written.

Evidence: the new test fails without it (three requests begin in place of one); the response that was complete still arrives whole.

--- a/packages/router/src/callers/createConnectionTracker.ts
+++ b/packages/router/src/callers/createConnectionTracker.ts
@@ -60,6 +60,10 @@
     if (next === undefined || socket.destroyed || socket.writableEnded) {
       return;
     }
+    if (connection.hasCallerLeft) {
+      socket.destroy();
+      return;
+    }
     holdRequestsAhead(connection);
     account.hold('head', next.headBytes);
     if (!account.isOpen()) {
@@ -120,6 +124,7 @@
         account,
         hasBeenUsed: false,
         isClosing: false,
+        hasCallerLeft: false,
         idleSinceMs: getNowMs(),
         parsedBytesWhenIdle: 0,
         lateRequests: 0,
@@ -184,8 +189,12 @@
       }
     },
     endAbandonedRequest: (socket) => {
-      const response = connections.get(socket)?.openRequests[0]?.response;
-      if (response?.writableEnded === false) {
+      const connection = connections.get(socket);
+      if (connection === undefined) {
+        return;
+      }
+      connection.hasCallerLeft = true;
+      if (connection.openRequests[0]?.response.writableEnded === false) {
         socket.destroy();
       }
     },
--- a/packages/router/src/callers/trackedConnection.ts
+++ b/packages/router/src/callers/trackedConnection.ts
@@ -22,6 +22,8 @@
   hasBeenUsed: boolean;
   /** Whether nothing more is read from the connection. */
   isClosing: boolean;
+  /** Whether the caller has ended its side behind bytes that are not parsed yet. */
+  hasCallerLeft: boolean;
   idleSinceMs: number;
   /** Bytes beyond this count belong to the next request. */
   parsedBytesWhenIdle: number;
--- a/packages/router/tests/callers/checkHead.test.ts
+++ b/packages/router/tests/callers/checkHead.test.ts
@@ -17,6 +17,7 @@
     account: memory.open(socket, () => undefined),
     hasBeenUsed,
     isClosing: false,
+    hasCallerLeft: false,
     idleSinceMs: 0,
     parsedBytesWhenIdle: 100,
     lateRequests: 0,
--- a/packages/router/tests/callers/createCallersServer.test.ts
+++ b/packages/router/tests/callers/createCallersServer.test.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 import { expect, test, vi } from 'vitest';
 import { createCallersServer } from '../../src/callers/createCallersServer.js';
 import { createTestLimits } from '../support/createTestLimits.js';
@@ -167,3 +168,29 @@
   expect((await refused)[0].toString()).toMatch(/^HTTP\/1\.1 503 [^]*retry-after: 0\.500/);
   [first, second, ordinary].forEach((socket) => socket.destroy());
 });
+
+// Guards against requests that begin for nobody, and against a complete response that is cut because its caller has ended.
+test('of a caller that has ended its side, no further request begins once its response is written', async () => {
+  const handled: (string | undefined)[] = [];
+  await using server = await startServer((request, response) => {
+    handled.push(request.url);
+    request.resume();
+    response.end(Buffer.alloc(UNREAD_BYTES));
+  });
+  const paths = ['/1', '/2', '/3'];
+  const requests = paths.map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`);
+  const socket = server.open(requests.join(''), { allowHalfOpen: true });
+  socket.pause();
+  await vi.waitUntil(() => handled.length > 0, { timeout: MAX_WAIT_MS });
+  socket.end();
+  await wait(100);
+  let receivedBytes = 0;
+  socket.on('data', (bytes: Buffer) => {
+    receivedBytes += bytes.length;
+  });
+  socket.resume();
+  await once(socket, 'close');
+  expect(handled).toEqual(['/1']);
+  expect(receivedBytes).toBeGreaterThan(UNREAD_BYTES);
+  expect(receivedBytes).toBeLessThan(2 * UNREAD_BYTES);
+});
--- a/packages/router/tests/callers/releaseRequests.test.ts
+++ b/packages/router/tests/callers/releaseRequests.test.ts
@@ -32,6 +32,7 @@
     openRequests: [current, ahead],
     hasBeenUsed: true,
     isClosing: true,
+    hasCallerLeft: false,
     idleSinceMs: 0,
     parsedBytesWhenIdle: 0,
     lateRequests: 0,
