Callers: unread responses take no room from the requests of others

Change: unread responses no longer count in what the running requests leave; the budget then exceeds its limit as before, and they give way. They still count in whether targets are paused.

Evidence: the new test of the budget fails without the change. A crowd of 40 callers that never read, with a time limit longer than the test, is new too; it passes with and without the change, so it guards only against worse.

--- a/packages/router/src/memory/createMemoryBudget.ts
+++ b/packages/router/src/memory/createMemoryBudget.ts
@@ -19,9 +19,13 @@
 const isProgress = (kind: MemoryKind, addedBytes: number): boolean =>
   kind === 'body' ? addedBytes > 0 : kind === 'unreadResponse' && addedBytes < 0;
 
-/** Bytes that are held until a request that was passed to the scheduler has its response. */
-const countServedBytes = ({ isServing, servingBytes, bytesByKind }: Holder): number =>
-  isServing ? servingBytes + (bytesByKind.get('unreadResponse') ?? 0) : 0;
+/** Bytes that are held for a request that was passed to the scheduler, and for its response while that is buffered. */
+const countRunningBytes = ({ isServing, servingBytes }: Holder): number =>
+  isServing ? servingBytes : 0;
+
+/** Bytes of the response to such a request that its caller has not read. */
+const countUnreadBytes = ({ isServing, bytesByKind }: Holder): number =>
+  isServing ? (bytesByKind.get('unreadResponse') ?? 0) : 0;
 
 const CLOSED_ACCOUNT: MemoryAccount = {
   hold: () => undefined,
@@ -56,21 +60,33 @@
   const holders = new Map<Socket, Holder>();
   const accounts = new WeakMap<Socket, MemoryAccount>();
   let heldBytes = 0;
-  /** What is held for all requests that were passed to the scheduler. */
-  let servedBytes = 0;
+  /** Sums over all connections. */
+  let runningBytes = 0;
+  let unreadBytes = 0;
 
   /** What requests that are being served may take before their responses stop growing. */
   const getServedLimitBytes = (): number => getLimitBytes() * (1 - RESERVE_SHARE);
-  const isShort = (): boolean => servedBytes > getServedLimitBytes();
+  const isShort = (): boolean => runningBytes + unreadBytes > getServedLimitBytes();
   const growthGate = createGrowthGate<Holder>(isShort);
 
+  /** Unread responses give way, so they take no room. */
   const hasRoomFor = (bytes: number): boolean =>
-    servedBytes === 0 || bytes <= (getServedLimitBytes() - servedBytes) * MAX_SHARE_OF_ROOM;
+    runningBytes === 0 || bytes <= (getServedLimitBytes() - runningBytes) * MAX_SHARE_OF_ROOM;
+
+  const addToSums = (holder: Holder): void => {
+    runningBytes += countRunningBytes(holder);
+    unreadBytes += countUnreadBytes(holder);
+  };
+
+  const removeFromSums = (holder: Holder): void => {
+    runningBytes -= countRunningBytes(holder);
+    unreadBytes -= countUnreadBytes(holder);
+  };
 
   const setServing = (holder: Holder, isServing: boolean): void => {
-    servedBytes -= countServedBytes(holder);
+    removeFromSums(holder);
     holder.isServing = isServing;
-    servedBytes += countServedBytes(holder);
+    addToSums(holder);
     growthGate.notifyReleased();
   };
 
@@ -78,7 +94,7 @@
     if (holders.get(socket) === holder) {
       holders.delete(socket);
       heldBytes -= holder.callerBytes + holder.servingBytes;
-      servedBytes -= countServedBytes(holder);
+      removeFromSums(holder);
       growthGate.leave(holder);
       holder.release();
     }
@@ -113,7 +129,7 @@
     if (addedBytes === 0) {
       return;
     }
-    servedBytes -= countServedBytes(holder);
+    removeFromSums(holder);
     holder.bytesByKind.set(kind, bytes);
     if (SERVING_KINDS.has(kind)) {
       if (holder.servingBytes === 0) {
@@ -127,7 +143,7 @@
       holder.callerBytes += addedBytes;
     }
     heldBytes += addedBytes;
-    servedBytes += countServedBytes(holder);
+    addToSums(holder);
     if (addedBytes < 0) {
       growthGate.notifyReleased();
     }
--- a/packages/router/tests/memory/createMemoryBudget.test.ts
+++ b/packages/router/tests/memory/createMemoryBudget.test.ts
@@ -120,6 +120,21 @@
   expect(closed).toEqual(['holding']);
 });
 
+// Guards against ordinary callers that are refused because others do not read their responses.
+test('a request is admitted beside unread responses, which give way', () => {
+  const { open, closed, pass } = createTestBudget(1_000);
+  Array.from({ length: 8 }, (_, index) => {
+    const account = open(`unread ${index}`);
+    account.admit(10);
+    account.hold('unreadResponse', 110);
+    return account;
+  });
+  pass(2_000);
+  expect(open('ordinary').admit(100)).toBe(true);
+  expect(closed.length).toBeGreaterThan(0);
+  expect(closed.filter((name) => !name.startsWith('unread'))).toEqual([]);
+});
+
 // Guards against a request that is refused for good after others have ended.
 test('a request that has ended makes room for another one', () => {
   const { open } = createTestBudget(1_000);
--- a/packages/router/tests/uncontrolledCallers/unreadResponses.test.ts
+++ b/packages/router/tests/uncontrolledCallers/unreadResponses.test.ts
@@ -10,6 +10,10 @@
     200,
   ),
 );
+/** More than the callers of a crowd. */
+const SLOTS = 100;
+/** Longer than the test. */
+const LONG_UNREAD_TIMEOUT_MS = 120_000;
 const LARGE_RESPONSE_REQUEST = Buffer.from(
   'GET /data/67108864 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: a1\r\n\r\n',
 );
@@ -33,6 +37,26 @@
   );
 });
 
+// Guards against ordinary callers that are refused as long as others do not read their responses.
+test('an ordinary request beside responses that may stay unread for long', async () => {
+  await using router = await startRouterUnderLoad({
+    slots: SLOTS,
+    callerLimits: { unreadTimeoutMs: LONG_UNREAD_TIMEOUT_MS },
+  });
+  await playCrowd(
+    {
+      address: router.callersAddress,
+      callers: 40,
+      parts: [LARGE_RESPONSE_REQUEST],
+      isReading: false,
+    },
+    async () => {
+      expect(await waitUntil(() => router.countBegunResponses() === 40)).toBe(true);
+      await expectSurvival(router);
+    },
+  );
+});
+
 // Guards against targets that are paused without a time limit: the slots they hold are taken from ordinary callers.
 test('slow readers of large responses', async () => {
   await using router = await startRouterUnderLoad();
