Callers: responses wait until those before them are written out

Cause: while memory is short, four responses may grow at a time; one made place for the next when it was handed to its connection, not when it was written out. So what callers had not read yet piled up past the limit.

Change: it makes place once it is written out or its connection is closed; one whose send has failed, or that is relayed as it arrives, makes place at once.

--- a/packages/router/src/callers/createRelay.ts
+++ b/packages/router/src/callers/createRelay.ts
@@ -76,7 +76,11 @@
     },
     holdBuffered: (bytes) => {
       account.hold('bufferedResponse', bytes);
-      return bytes === 0 || account.mayGrow(resumeReading);
+      if (bytes === 0) {
+        account.endGrowth();
+        return true;
+      }
+      return account.mayGrow(resumeReading);
     },
     end: () => {
       sendHead();
--- a/packages/router/src/memory/createMemoryBudget.ts
+++ b/packages/router/src/memory/createMemoryBudget.ts
@@ -31,6 +31,7 @@
   hold: () => undefined,
   admit: () => false,
   mayGrow: () => true,
+  endGrowth: () => undefined,
   setServing: () => undefined,
   isServing: () => false,
   setRelease: () => undefined,
@@ -87,7 +88,9 @@
     removeFromSums(holder);
     holder.isServing = isServing;
     addToSums(holder);
-    growthGate.notifyReleased();
+    if (!isServing) {
+      growthGate.leave(holder);
+    }
   };
 
   const remove = (socket: Socket, holder: Holder): void => {
@@ -168,12 +171,8 @@
       const isOpen = (): boolean => holders.get(socket) === holder;
       const account: MemoryAccount = {
         hold: (kind, bytes) => {
-          if (!isOpen()) {
-            return;
-          }
-          hold(holder, kind, bytes);
-          if (kind === 'bufferedResponse' && bytes === 0) {
-            growthGate.leave(holder);
+          if (isOpen()) {
+            hold(holder, kind, bytes);
           }
         },
         admit: (bytes) => {
@@ -190,6 +189,9 @@
           setServing(holder, true);
           return true;
         },
+        endGrowth: () => {
+          growthGate.leave(holder);
+        },
         mayGrow: (resume) => !isOpen() || growthGate.mayGrow(holder, resume),
         setServing: (isServing) => {
           if (isOpen()) {
--- a/packages/router/src/memory/growthGate.ts
+++ b/packages/router/src/memory/growthGate.ts
@@ -2,7 +2,7 @@
 export interface GrowthGate<Holder> {
   /** Whether more of the response may be read now; if not, `resume` is called once it may. */
   readonly mayGrow: (holder: Holder, resume: () => void) => boolean;
-  /** Has to be called when the response is no longer buffered. */
+  /** Has to be called when the response is written out or no longer buffered. */
   readonly leave: (holder: Holder) => void;
   /** Has to be called when memory was released. */
   readonly notifyReleased: () => void;
--- a/packages/router/src/memory/memoryAccount.ts
+++ b/packages/router/src/memory/memoryAccount.ts
@@ -11,6 +11,8 @@
   readonly admit: (bytes: number) => boolean;
   /** Whether more of a response that is buffered may be read; if not, `resume` is called once it may. */
   readonly mayGrow: (resume: () => void) => boolean;
+  /** Has to be called when a response is no longer buffered before it is written out. */
+  readonly endGrowth: () => void;
   /** Sets whether a request of the connection has been passed to the scheduler. */
   readonly setServing: (isServing: boolean) => void;
   /** Whether a request of the connection has been passed to the scheduler. */
--- a/packages/router/tests/memory/createMemoryBudget.test.ts
+++ b/packages/router/tests/memory/createMemoryBudget.test.ts
@@ -167,8 +167,8 @@
   expect(closed).toEqual([]);
 });
 
-// Guards against a response that nobody goes on reading once the ones before it are complete.
-test('a response that is no longer buffered lets the next one grow', async () => {
+// Guards against responses that are all written at once while memory is short, faster than their callers read them.
+test('a response lets the next one grow once it is written out', async () => {
   const { open } = createTestBudget(1_000);
   const accounts = Array.from({ length: 6 }, (_, index) => open(`request ${index}`));
   accounts.forEach((account) => {
@@ -183,5 +183,25 @@
   accounts[0]?.hold('bufferedResponse', 0);
   accounts[0]?.hold('unreadResponse', 50);
   await nextTurn();
+  expect(resumed).toEqual([]);
+  accounts[0]?.setServing(false);
+  large.hold('request', 400);
+  await nextTurn();
+  expect(resumed).toEqual([4]);
+});
+
+// Guards against a response that nobody goes on reading once the send before it has failed.
+test('a response that is no longer buffered lets the next one grow', async () => {
+  const { open } = createTestBudget(1_000);
+  const accounts = Array.from({ length: 6 }, (_, index) => open(`request ${index}`));
+  accounts.forEach((account) => {
+    account.admit(50);
+    account.hold('bufferedResponse', 100);
+  });
+  const resumed: number[] = [];
+  accounts.forEach((account, index) => account.mayGrow(() => resumed.push(index)));
+  accounts[0]?.hold('bufferedResponse', 80);
+  accounts[0]?.endGrowth();
+  await nextTurn();
   expect(resumed).toEqual([4]);
 });
