Callers: a response that is broken off for a caller that left does not look complete

What callers would see: one that ended its side behind requests ahead and still read got the begun part of a response to HTTP/1.0 and an orderly end, as if it were whole. Found by reading; not seen in a run.

Change: the connection is closed as others are whose response is broken off, with a reset where nothing else tells that the response is incomplete.

Evidence: the new test fails without the change and passes with it.

--- a/packages/router/src/callers/createConnectionTracker.ts
+++ b/packages/router/src/callers/createConnectionTracker.ts
@@ -195,7 +195,7 @@
       }
       connection.hasCallerLeft = true;
       if (connection.openRequests[0]?.response.writableEnded === false) {
-        socket.destroy();
+        closeBrokenOff(socket, connection);
       }
     },
     countOpenRequests: () =>
--- a/packages/router/tests/callers/createCallersServer.test.ts
+++ b/packages/router/tests/callers/createCallersServer.test.ts
@@ -194,3 +194,18 @@
   expect(receivedBytes).toBeGreaterThan(UNREAD_BYTES);
   expect(receivedBytes).toBeLessThan(2 * UNREAD_BYTES);
 });
+
+// Guards against an incomplete response that looks complete to a caller that has ended its side and still reads.
+test('a response to HTTP/1.0 whose caller ends its side behind requests ahead ends with a reset', async () => {
+  await using server = await startServer((_, response) => {
+    response.write('begun');
+  });
+  const socket = server.open('GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n'.repeat(2), {
+    allowHalfOpen: true,
+  });
+  await once(socket, 'readable');
+  const ended = once(socket, 'end');
+  socket.resume();
+  socket.end();
+  await expect(ended).rejects.toThrow('ECONNRESET');
+});
