--- a/packages/router/src/memory/selectConnectionsToClose.ts
+++ b/packages/router/src/memory/selectConnectionsToClose.ts
@@ -2,8 +2,8 @@
 
 /** Added to each age, so that of young connections the one that holds most is selected. */
 const MIN_AGE_MS = 50;
-/** A caller whose request is being served has this time to read the next part of its response. */
-const MIN_UNREAD_MS = 1_000;
+/** A caller whose request is being served has this time to send or read the next part of what it makes the entry hold. */
+const MIN_HELD_MS = 1_000;
 
 /** Part of the callers' bytes that is released besides the overflow, at most down to the goal. */
 const CALLER_RESERVE_SHARE = 1 / 8;
@@ -16,10 +16,11 @@
 const getServingScore = ({ servingBytes, servingAgeMs }: HeldMemory): number =>
   servingBytes * (servingAgeMs + MIN_AGE_MS);
 
+/** Nothing of it runs, so all that it holds waits for its caller. */
 const isWaitingForCaller = ({ isServing }: HeldMemory): boolean => !isServing;
 
-const isUnread = ({ isServing, callerAgeMs }: HeldMemory): boolean =>
-  isServing && callerAgeMs >= MIN_UNREAD_MS;
+const isHeldForLong = ({ isServing, callerAgeMs }: HeldMemory): boolean =>
+  isServing && callerAgeMs >= MIN_HELD_MS;
 
 const sortByScore = <Connection extends HeldMemory>(
   connections: readonly Connection[],
@@ -62,7 +63,7 @@
   const callerBytes = connections.reduce((sum, connection) => sum + connection.callerBytes, 0);
   const remainingBytes = Math.max(goalBytes, limitBytes - callerBytes * CALLER_RESERVE_SHARE);
   selectUntil(sortByScore(connections.filter(isWaitingForCaller), getCallerScore), remainingBytes);
-  selectUntil(sortByScore(connections.filter(isUnread), getCallerScore), remainingBytes);
+  selectUntil(sortByScore(connections.filter(isHeldForLong), getCallerScore), remainingBytes);
   if (heldBytes > limitBytes) {
     const reserveBytes = (limitBytes - goalBytes) * SERVING_RESERVE_SHARE;
     selectUntil(sortByScore(connections, getCallerScore), limitBytes - reserveBytes);
