Keys: a withdrawn key no longer names its team on routes open to all

Cause: admission looked the key up and returned on routes that need none; it asked whether the configuration is confirmed only behind that return. The team also decided the quota charged and the priority.

Change: while the configuration is unconfirmed, a request with a key gets 503 on every route. Sent with the team it is wrong if the key was withdrawn, sent without a team if it still holds; a 503 is right in both cases. Requests without a key are served on open routes as before.

Test: the test "is not needed on a route that allows anonymous requests" said that a request with an unknown key is sent 60 s after the last confirmation. That was wrong: the key may have been given out since. In its place stand that a request without a key is sent then, that one with an unknown key is sent without a team while the configuration is confirmed, and that neither known nor unknown keys are sent later, to the millisecond of the bound.

--- a/packages/routing/src/steps/admitArrival.ts
+++ b/packages/routing/src/steps/admitArrival.ts
@@ -1,6 +1,7 @@
 import { chooseService } from '../configuration/chooseService.js';
 import { findRoute } from '../configuration/findRoute.js';
 import { getElapsedMs } from '../configuration/getElapsedMs.js';
+import { getTeamOfKey } from '../configuration/getTeamOfKey.js';
 import type { Route } from '../configuration/route.js';
 import type { RoutedTeam } from '../configuration/routedTeam.js';
 import type { RoutingIndex } from '../configuration/routingIndex.js';
@@ -27,11 +28,12 @@
   state.configurationConfirmedAt !== undefined &&
   getElapsedMs(state.configurationConfirmedAt, now) <= settings.longestUnconfirmedMs;
 
-const needsKey = (index: RoutingIndex, route: Route): boolean =>
-  index.configuration.teams.length > 0 && !route.isAnonymousAllowed;
+const usesKeys = ({ configuration }: RoutingIndex): boolean => configuration.teams.length > 0;
 
 /**
  * Finds the route, service and team of an arriving request, or the reason to refuse it, by the current configuration.
+ * While the configuration is unconfirmed, a request with a key is refused on every route: whether the key still holds
+ * decides the team that its target is told, and the request must not be sent with a wrong team or without its own.
  */
 export const admitArrival = (
   state: RoutingState,
@@ -48,15 +50,17 @@
   if (route === undefined || service === undefined) {
     return newRefusedAdmission({ status: 404, reason: 'noRoute' });
   }
-  const team = arrival.key === undefined ? undefined : index.teamsByKey.get(arrival.key);
-  if (!needsKey(index, route)) {
-    return { type: 'admitted', route, service, team };
+  const isKeyNeeded = usesKeys(index) && !route.isAnonymousAllowed;
+  const isKeySent = usesKeys(index) && arrival.key !== undefined;
+  if (!isKeyNeeded && !isKeySent) {
+    return { type: 'admitted', route, service, team: undefined };
   }
   if (!isConfirmed(state, context)) {
     const reason = 'configurationUnconfirmed';
     return newRefusedAdmission({ status: 503, reason, retryAfterMs: NOT_READY_RETRY_MS });
   }
-  return team === undefined
+  const team = getTeamOfKey(index, arrival.key);
+  return isKeyNeeded && team === undefined
     ? newRefusedAdmission({ status: 401, reason: 'unknownKey' })
     : { type: 'admitted', route, service, team };
 };
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -94,15 +94,69 @@
     entry.nowMs += 6_000;
     expect(entry.getRefusal(entry.arrive())?.reason).toBe('configurationUnconfirmed');
   });
+});
+
+describe('a route that allows anonymous requests', () => {
+  const OPEN = { isAnonymousAllowed: true };
+  const startOpen = (): RoutingHarness =>
+    RoutingHarness.createReady(newConfiguration({ routes: [newRoute(OPEN)] }));
 
-  it('is not needed on a route that allows anonymous requests', () => {
-    const routes = [newRoute({ isAnonymousAllowed: true })];
-    const entry = RoutingHarness.createReady(newConfiguration({ routes }));
+  it('serves requests without a key, however old the configuration is', () => {
+    const entry = startOpen();
     entry.nowMs += 60_000;
+    const requestId = entry.arriveWithoutKey();
+    expect(entry.getSends(requestId)).toHaveLength(1);
+    expect(entry.getLastSend(requestId).team).toBeUndefined();
+  });
+
+  it('serves requests with an unknown key without a team', () => {
+    const entry = startOpen();
     const requestId = entry.arrive({ key: 'unknown' });
     expect(entry.getSends(requestId)).toHaveLength(1);
     expect(entry.getLastSend(requestId).team).toBeUndefined();
   });
+
+  it('serves requests with a known key with its team', () => {
+    const entry = startOpen();
+    expect(entry.getLastSend(entry.arrive()).team).toBe('red');
+  });
+
+  // A withdrawn key named its former team to targets for as long as the store turned the entry away.
+  it.each(['red-key', 'unknown'])(
+    'refuses requests with a key (%s) once the last confirmation of the configuration is too old',
+    (key) => {
+      const entry = startOpen();
+      entry.nowMs += 4_850;
+      expect(entry.getSends(entry.arrive({ key }))).toHaveLength(1);
+      entry.nowMs += 1;
+      const requestId = entry.arrive({ key });
+      expect(entry.getSends(requestId)).toHaveLength(0);
+      const refusal = entry.getRefusal(requestId);
+      expect(refusal).toMatchObject({ status: 503, reason: 'configurationUnconfirmed' });
+      expect(refusal?.retryAfterMs).toBeGreaterThan(0);
+    },
+  );
+
+  // A withdrawn key used up the quota of its former team while the store turned the entry away.
+  it('charges no quota for a key that may have been withdrawn', () => {
+    const quota = { unit: 'requests' as const, perSecond: 1, burst: 10, plainTokens: 0 };
+    const entry = RoutingHarness.createReady(
+      newConfiguration({
+        routes: [newRoute(OPEN)],
+        teams: [{ name: 'red', keys: ['red-key'], quota }],
+      }),
+    );
+    entry.nowMs += 6_000;
+    entry.arrive();
+    expect(entry.state.quotaAccounts.isEmpty()).toBe(true);
+  });
+
+  it('accepts keys again with the next confirmation', () => {
+    const entry = startOpen();
+    entry.nowMs += 60_000;
+    entry.confirmConfiguration();
+    expect(entry.getLastSend(entry.arrive()).team).toBe('red');
+  });
 });
 
 describe('a platform that has forgotten a version of the configuration', () => {
--- a/packages/routing/tests/support/routingHarness.ts
+++ b/packages/routing/tests/support/routingHarness.ts
@@ -77,6 +77,10 @@
   }
 
   arrive(changes: Partial<Arrival> = {}): number {
+    return this.arriveWithoutKey({ key: 'red-key', ...changes });
+  }
+
+  arriveWithoutKey(changes: Partial<Arrival> = {}): number {
     const requestId = this.nextRequestId;
     this.nextRequestId += 1;
     this.dispatch({
@@ -85,7 +89,6 @@
         requestId,
         host: 'a.example',
         path: '/a/b',
-        key: 'red-key',
         random: 0,
         elapsedMs: 0,
         ...changes,
