Keys: a request whose key changes hands while it waits is not sent

What callers and targets saw: a request that waited in the queue, or that was tried again or resumed at another target, named the team that had held its key when it arrived, though the configuration in force had withdrawn the key or given it to another team. One whose unknown key had been given to a team was sent without it.

Cause: the key is looked up once, at admission, and dropped; the request keeps the name of the team.

Change: a queued request keeps its key. A new configuration refuses the queued requests whose key has another holder than before with 503 and a short Retry-After, and such a request is not sent again after a failed send. What a target is working on ends there. Reason keyChanged, with a title for callers and an explanation for operators.

--- a/packages/operator/src/explain/describeRefusal.ts
+++ b/packages/operator/src/explain/describeRefusal.ts
@@ -45,6 +45,8 @@
       return `no route of version ${version} matches the host ${getTextField(line, 'callerHost')} and the path`;
     case 'unknownKey':
       return `version ${version} of the configuration has no such key`;
+    case 'keyChanged':
+      return `version ${version} of the configuration withdrew its key from team ${getTextField(line, 'team')}, or gave it to another one, while it waited`;
     case 'noTarget':
       return `the list contained no target of ${getTextField(line, 'service')} that accepts work`;
     case 'refusedByTargets':
--- a/packages/operator/tests/explain.test.ts
+++ b/packages/operator/tests/explain.test.ts
@@ -56,6 +56,10 @@
     'last confirmed 6000 ms before',
   ],
   [{ reason: 'unknownKey', status: 401 }, 'version 3 of the configuration has no such key'],
+  [
+    { reason: 'keyChanged', team: 'red' },
+    'withdrew its key from team red, or gave it to another one, while it waited',
+  ],
   [{ reason: 'noRoute', status: 404, callerHost: 'a.example' }, 'matches the host a.example'],
   [
     { reason: 'promptQuarantined', status: 503, promptParts: '5c1e07a2' },
--- a/packages/router/src/callers/describeRefusal.ts
+++ b/packages/router/src/callers/describeRefusal.ts
@@ -7,6 +7,7 @@
   configurationUnconfirmed: 'This entry cannot tell whether the key still holds',
   noRoute: 'No route fits the host and path',
   unknownKey: 'The key is not known',
+  keyChanged: 'The key was withdrawn, or given to another team, while the request waited',
   quotaExceeded: 'The team has used up its quota',
   noTarget: 'The service has no target',
   promptQuarantined: 'A part of the prompt crashes targets',
--- a/packages/routing/src/reduceRouting.ts
+++ b/packages/routing/src/reduceRouting.ts
@@ -21,10 +21,12 @@
 import { handleResponseEnd } from './steps/handleResponseEnd.js';
 import { handleSendFailure } from './steps/handleSendFailure.js';
 import { findRequestBySend } from './steps/findRequestBySend.js';
+import { chainStep } from './steps/chainStep.js';
 import { createStepResult } from './steps/createStepResult.js';
 import { handleTargetList } from './steps/handleTargetList.js';
 import type { StepResult } from './steps/stepResult.js';
 import type { StepContext } from './steps/stepContext.js';
+import { refuseChangedKeys } from './steps/refuseChangedKeys.js';
 import { runStepForEach } from './steps/runStepForEach.js';
 import { endOpenRequests } from './steps/endOpenRequests.js';
 import { handleTick } from './steps/handleTick.js';
@@ -32,12 +34,13 @@
 const applyConfiguration = (
   state: RoutingState,
   configuration: RoutingConfiguration,
+  context: StepContext,
 ): StepResult => {
   const { version } = configuration;
   if (state.index !== undefined && state.index.configuration.version >= version) {
     return createStepResult(state);
   }
-  return createStepResult(
+  const applied = createStepResult(
     { ...state, index: indexConfiguration(configuration) },
     {
       type: 'observe',
@@ -45,6 +48,7 @@
       fields: { version, routes: configuration.routes.length, teams: configuration.teams.length },
     },
   );
+  return chainStep(applied, (current) => refuseChangedKeys(current, context));
 };
 
 const handleEvent = (
@@ -104,7 +108,7 @@
           );
     }
     case 'configurationRead':
-      return applyConfiguration(state, event.configuration);
+      return applyConfiguration(state, event.configuration, context);
     case 'configurationConfirmed':
       return createStepResult(confirmConfiguration(state, event, context));
     case 'targetsConfirmed':
--- a/packages/routing/src/requests/newRequest.ts
+++ b/packages/routing/src/requests/newRequest.ts
@@ -39,6 +39,7 @@
     ...(arrival.attemptId === undefined ? {} : { attemptId: arrival.attemptId }),
     route,
     service,
+    ...(arrival.key === undefined ? {} : { key: arrival.key }),
     ...(team === undefined ? {} : { team: team.name }),
     ...(team?.priority === undefined ? {} : { teamPriority: team.priority }),
     tier: route.priority,
--- a/packages/routing/src/requests/refusalReason.ts
+++ b/packages/routing/src/requests/refusalReason.ts
@@ -5,6 +5,7 @@
   | 'configurationUnconfirmed'
   | 'noRoute'
   | 'unknownKey'
+  | 'keyChanged'
   | 'quotaExceeded'
   | 'noTarget'
   | 'promptQuarantined'
--- a/packages/routing/src/requests/trackedRequest.ts
+++ b/packages/routing/src/requests/trackedRequest.ts
@@ -8,6 +8,9 @@
   readonly attemptId?: string;
   readonly route: Route;
   readonly service: string;
+  /** The caller's key; undefined if it sent none. */
+  readonly key?: string;
+  /** The team that held the key when the request was admitted. */
   readonly team?: string;
   /** The team's priority, which takes precedence over that of the route; 0 is the highest. */
   readonly teamPriority?: number;
--- a/packages/routing/src/retries/canRunAgain.ts
+++ b/packages/routing/src/retries/canRunAgain.ts
@@ -1,3 +1,4 @@
+import { hasTeamChanged } from '../requests/hasTeamChanged.js';
 import { isRetrySafe } from '../requests/isRetrySafe.js';
 import type { TrackedRequest } from '../requests/trackedRequest.js';
 import type { RoutingState } from '../routingState.js';
@@ -10,4 +11,7 @@
   request: TrackedRequest,
   context: StepContext,
 ): boolean =>
-  !request.isCommitted && isRetrySafe(request.route) && hasRetriesLeft(state, request, context);
+  !request.isCommitted &&
+  !hasTeamChanged(state, request) &&
+  isRetrySafe(request.route) &&
+  hasRetriesLeft(state, request, context);
--- a/packages/routing/src/steps/retryOrRefuse.ts
+++ b/packages/routing/src/steps/retryOrRefuse.ts
@@ -2,6 +2,8 @@
 import { findQuarantine } from '../quarantine/findQuarantine.js';
 import { getQuarantineRefusal } from '../quarantine/getQuarantineRefusal.js';
 import { releaseSend } from '../requests/releaseSend.js';
+import { getKeyChangedRefusal } from '../requests/getKeyChangedRefusal.js';
+import { hasTeamChanged } from '../requests/hasTeamChanged.js';
 import { describeRequest } from '../requests/describeRequest.js';
 import { getRetryAfterMs } from '../requests/getRetryAfterMs.js';
 import { putRequest } from '../requests/putRequest.js';
@@ -32,7 +34,7 @@
   context: StepContext,
 ): boolean => {
   const isQuarantined = findQuarantine(state, request.sharedPromptParts) !== undefined;
-  if (request.sends >= MAX_SENDS_PER_REQUEST || isQuarantined) {
+  if (request.sends >= MAX_SENDS_PER_REQUEST || isQuarantined || hasTeamChanged(state, request)) {
     return false;
   }
   switch (result) {
@@ -50,6 +52,9 @@
   if (quarantine !== undefined) {
     return getQuarantineRefusal(quarantine, request.mayHaveRun, nowMs);
   }
+  if (hasTeamChanged(state, request)) {
+    return getKeyChangedRefusal(request);
+  }
   return request.mayHaveRun
     ? { status: 502, reason: 'outcomeUnknown' }
     : {
