Keys: taking the last team away no longer opens every route

What callers saw: after the operator had taken the last team away (an empty list of teams), every route was served with the withdrawn key, with a made-up one and with none.

Cause: whether a request needs a key was derived from the number of teams.

Change: the configuration says whether keys are used.

Test: in admission.test.ts, a test about versions used a configuration without teams to show that a request is admitted; it has a team now, so that its key is checked too.

--- a/packages/daemon/src/routerProcess/createFilePlatform.ts
+++ b/packages/daemon/src/routerProcess/createFilePlatform.ts
@@ -24,6 +24,7 @@
 ): void => {
   inputs.handleConfiguration({
     ...configuration,
+    areKeysUsed: configuration.teams.length > 0,
     teams: configuration.teams.map(({ name, keys, priority, quota }) => ({
       name,
       keys,
--- a/packages/router/tests/support/startTestRouter.ts
+++ b/packages/router/tests/support/startTestRouter.ts
@@ -57,6 +57,7 @@
     createTestRoute,
   ),
   services: [],
+  areKeysUsed: false,
   teams: [],
   limits: {
     maxHeaderBytes: 16_384,
--- a/packages/routing/src/configuration/routingConfiguration.ts
+++ b/packages/routing/src/configuration/routingConfiguration.ts
@@ -9,7 +9,11 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly RoutedService[];
-  /** Empty if requests need no key. */
+  /**
+   * Whether requests need a key of a team, except on routes that allow anonymous ones. It is not derived from the teams:
+   * keys stay needed when the last team is taken away. Without it, keys have no meaning.
+   */
+  readonly areKeysUsed: boolean;
   readonly teams: readonly RoutedTeam[];
   readonly limits: CallerLimits;
 }
--- a/packages/routing/src/steps/admitArrival.ts
+++ b/packages/routing/src/steps/admitArrival.ts
@@ -4,7 +4,6 @@
 import { getTeamOfKey } from '../configuration/getTeamOfKey.js';
 import type { Route } from '../configuration/route.js';
 import type { RoutedTeam } from '../configuration/routedTeam.js';
-import type { RoutingIndex } from '../configuration/routingIndex.js';
 import type { Arrival } from '../requests/arrival.js';
 import type { Refusal } from '../requests/refusal.js';
 import type { RoutingState } from '../routingState.js';
@@ -28,8 +27,6 @@
   state.configurationConfirmedAt !== undefined &&
   getElapsedMs(state.configurationConfirmedAt, now) <= settings.longestUnconfirmedMs;
 
-const usesKeys = ({ configuration }: RoutingIndex): boolean => configuration.teams.length > 0;
-
 /**
  * Finds the route, service and team of an arriving request, or the reason to refuse it, by the current configuration.
  * While the configuration is unconfirmed, a request with a key is refused on every route: whether the key still holds
@@ -50,8 +47,9 @@
   if (route === undefined || service === undefined) {
     return newRefusedAdmission({ status: 404, reason: 'noRoute' });
   }
-  const isKeyNeeded = usesKeys(index) && !route.isAnonymousAllowed;
-  const isKeySent = usesKeys(index) && arrival.key !== undefined;
+  const { areKeysUsed } = index.configuration;
+  const isKeyNeeded = areKeysUsed && !route.isAnonymousAllowed;
+  const isKeySent = areKeysUsed && arrival.key !== undefined;
   if (!isKeyNeeded && !isKeySent) {
     return { type: 'admitted', route, service, team: undefined };
   }
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -96,6 +96,38 @@
   });
 });
 
+describe('a configuration whose last team was taken away', () => {
+  const startWithout = (areKeysUsed: boolean, isAnonymousAllowed = false): RoutingHarness =>
+    RoutingHarness.createReady(
+      newConfiguration({ routes: [newRoute({ isAnonymousAllowed })], areKeysUsed, teams: [] }),
+    );
+
+  // Every route was open to all, to withdrawn keys too, when the last team had been taken away.
+  it('still needs keys, and none is accepted', () => {
+    const entry = startWithout(true);
+    const requestIds = [entry.arrive(), entry.arrive({ key: 'unknown' }), entry.arriveWithoutKey()];
+    requestIds.forEach((requestId) => {
+      expect(entry.getSends(requestId)).toHaveLength(0);
+      expect(entry.getRefusal(requestId)).toEqual({ status: 401, reason: 'unknownKey' });
+    });
+  });
+
+  it('serves requests on routes that allow anonymous ones, without a team', () => {
+    const entry = startWithout(true, true);
+    [entry.arrive(), entry.arriveWithoutKey()].forEach((requestId) => {
+      expect(entry.getLastSend(requestId).team).toBeUndefined();
+    });
+  });
+
+  it('needs no key if keys are not used, however old it is', () => {
+    const entry = startWithout(false);
+    entry.nowMs += 60_000;
+    [entry.arrive(), entry.arriveWithoutKey()].forEach((requestId) => {
+      expect(entry.getLastSend(requestId).team).toBeUndefined();
+    });
+  });
+});
+
 describe('a route that allows anonymous requests', () => {
   const OPEN = { isAnonymousAllowed: true };
   const startOpen = (): RoutingHarness =>
@@ -180,7 +212,7 @@
     expect(entry.getRefusal(entry.arrive())?.reason).toBe('configurationUnconfirmed');
     entry.dispatch({
       type: 'configurationRead',
-      configuration: newConfiguration({ version: 7, teams: [] }),
+      configuration: newConfiguration({ version: 7 }),
     });
     entry.confirmConfiguration(7);
     expect(entry.getRefusal(entry.arrive())).toBeUndefined();
--- a/packages/routing/tests/support/newConfiguration.ts
+++ b/packages/routing/tests/support/newConfiguration.ts
@@ -8,6 +8,7 @@
   version: 1,
   routes: [newRoute()],
   services: [{ name: 'one', healthPath: '/', maxConnections: 100 }],
+  areKeysUsed: true,
   teams: [{ name: 'red', keys: ['red-key'] }],
   limits: {
     maxHeaderBytes: 16_384,
