--- a/packages/router/src/logging/processLogEvents.ts
+++ b/packages/router/src/logging/processLogEvents.ts
@@ -138,6 +138,12 @@
     fields: ['key', 'fault'],
     optional: [],
   },
+  targetRecordDoubted: {
+    level: 'info',
+    text: 'a row of the target list may be older than what is known of its target, and is not used until the target proves alive',
+    fields: ['key'],
+    optional: ['startedAtMs', 'sequence', 'knownStartedAtMs', 'knownSequence'],
+  },
   quotasRecalled: {
     level: 'info',
     text: 'the quota usage from before this start was read',
