Store: no record and no error ends the following of a topic

Cause: the loop of a follower is a promise whose rejection was only logged, and nothing caught exceptions for one record.

Change: an exception for one record drops that record, the rest of its page is used. After any other one the topic is read again as a whole, a second later. Both are counted in store_faults_total and logged; a topic logs at most ten lines in ten seconds for records that cannot be used.

--- a/packages/router/src/logging/processLogEvents.ts
+++ b/packages/router/src/logging/processLogEvents.ts
@@ -138,6 +138,18 @@
     fields: ['key', 'fault'],
     optional: [],
   },
+  recordDropped: {
+    level: 'error',
+    text: 'a record of the store was left out because of an unexpected error; the others are used',
+    fields: ['topic', 'key', 'detail'],
+    optional: [],
+  },
+  followerRestarted: {
+    level: 'error',
+    text: 'a topic of the store is read again as a whole after an unexpected error',
+    fields: ['topic', 'detail'],
+    optional: [],
+  },
   targetRecordDoubted: {
     level: 'info',
     text: 'a row of the target list may be older than what is known of its target, and is not used until the target proves alive',
--- a/packages/router/src/process/createRouterInputs.ts
+++ b/packages/router/src/process/createRouterInputs.ts
@@ -1,4 +1,5 @@
 import { toOptionalField } from '@parsleyhall/common';
+import type { Metrics } from '@parsleyhall/metrics';
 import type { RoutingEvent } from '@parsleyhall/routing';
 import type { CallersServer } from '../callers/callersServer.js';
 import type { PeerLink } from '../peers/peerLink.js';
@@ -11,11 +12,13 @@
   callers,
   peers,
   countTraffic,
+  metrics,
 }: {
   readonly dispatch: (event: RoutingEvent) => void;
   readonly callers: CallersServer;
   readonly peers: PeerLink;
   readonly countTraffic: TrafficCounter;
+  readonly metrics: Metrics;
 }): RouterInputs => ({
   handleConfiguration: (configuration) => {
     callers.setIdleTimeoutMs(configuration.limits.idleTimeoutMs);
@@ -50,6 +53,9 @@
     dispatch({ type: 'rolloutStatusesConfirmed', confirmedAt, revision });
   },
   handlePeerAddresses: peers.addAddresses,
+  countStoreFault: (kind, topic) => {
+    metrics.increment('store_faults_total', { kind, topic });
+  },
   countStoreBytes: (direction, bytes) => {
     countTraffic({ kind: 'store', direction, dataCentre: undefined }, bytes);
   },
--- a/packages/router/src/process/routerInputs.ts
+++ b/packages/router/src/process/routerInputs.ts
@@ -34,6 +34,14 @@
     revision: StoreRevision,
   ) => void;
   readonly handlePeerAddresses: (addresses: readonly string[]) => void;
+  /**
+   * Counts what goes wrong in the reading of a topic of the store, for the metrics: a record that describes nothing usable,
+   * one that was dropped because of an unexpected error, and a topic that is read again as a whole after one.
+   */
+  readonly countStoreFault: (
+    kind: 'recordUnusable' | 'recordDropped' | 'followerRestarted',
+    topic: string,
+  ) => void;
   /** Counts bytes of calls to the platform's store, for the metrics. */
   readonly countStoreBytes: (direction: 'sent' | 'received', bytes: number) => void;
 }
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -179,7 +179,7 @@
   const callersAddress = await callers.listen(settings.callersAddress);
   logger.write({ name: 'started', fields: { address: callersAddress } });
 
-  platform.follow(createRouterInputs({ dispatch, callers, peers, countTraffic }));
+  platform.follow(createRouterInputs({ dispatch, callers, peers, countTraffic, metrics }));
 
   const tickTimer = setInterval(() => {
     readDelayMonitor.recordTick();
