--- a/packages/router/src/logging/processLogEvents.ts
+++ b/packages/router/src/logging/processLogEvents.ts
@@ -150,7 +150,7 @@
     fields: ['topic', 'detail'],
     optional: [],
   },
-  targetRecordDoubted: {
+  targetRecordSuspect: {
     level: 'info',
     text: 'a row of the target list may be older than what is known of its target, and is not used until the target proves alive',
     fields: ['key'],
